--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+DEPLOYMENT ?= attica
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: setup demo test check format clean
+setup: $(VENV)/.stamp
+
+$(VENV)/.stamp: pyproject.toml
+	python3 -m venv $(VENV)
+	$(BIN)/pip install --quiet --editable '.[dev]'
+	touch $@
+
+demo: setup
+	$(BIN)/python -m demo --deployment deployments/$(DEPLOYMENT).toml
+
+test: setup
+	$(BIN)/python -m tests
+
+check: setup
+	$(BIN)/ruff format --check bluebellsill demo tests
+	$(BIN)/flake8 bluebellsill demo
+	$(BIN)/mypy
+
+format: setup
+	$(BIN)/ruff format bluebellsill demo tests
+
+clean:
+	rm -rf $(VENV) build *.egg-info
--- /dev/null
+++ b/bluebellsill/admission.py
@@ -0,0 +1,138 @@
+"""Decides at a target's node which calls run, wait or are refused."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum, unique
+
+from bluebellsill.ramp import Ramp
+
+__all__ = ('Decision', 'Gate', 'Ticket')
+
+QUEUE_WAIT = 0.05  # seconds that a call waits for a slot at most
+
+
+@unique
+class Decision(Enum):
+    """What happens to a call that is offered."""
+
+    RUN = 'run'
+    WAIT = 'wait'
+    REFUSE = 'refuse'
+
+
+@dataclass(slots=True, eq=False)
+class Ticket:
+    """One call at the gate.
+
+    Attributes:
+        priority: Lower is shed first.
+        expires_at: When nobody waits for the answer any more.
+        leaves_queue_at: When the call stops waiting for a slot.
+        started_at: When the call went to the target.
+    """
+
+    priority: int
+    expires_at: float
+    leaves_queue_at: float = 0
+    started_at: float = 0
+
+
+class Gate:
+    """Counts exactly what runs at one target and never exceeds its limit.
+
+    The queue is as long as the limit, so that whoever waits needs to
+    wait for about one service time. It is ordered by priority, then by
+    arrival; a full queue sheds its lowest priority.
+    """
+
+    def __init__(self, slots: int) -> None:
+        """Create the gate of a target that starts cold."""
+        self.ramp = Ramp(slots)
+        self._running: set[Ticket] = set()
+        self._queue: list[Ticket] = []
+
+    @property
+    def in_flight(self) -> int:
+        """The number of calls that run."""
+        return len(self._running)
+
+    @property
+    def load(self) -> int:
+        """The number of calls that run or wait."""
+        return len(self._running) + len(self._queue)
+
+    @property
+    def limit(self) -> int:
+        """The number of calls that may run."""
+        return self.ramp.limit
+
+    def offer(
+        self, ticket: Ticket, now: float
+    ) -> tuple[Decision, Ticket | None]:
+        """Take in a call.
+
+        Args:
+            ticket: The call.
+            now: The time in seconds.
+
+        Returns:
+            What happens to it, and a waiting call that is shed for it.
+        """
+        if now >= ticket.expires_at:
+            return Decision.REFUSE, None
+        if self.in_flight < self.limit and not self._queue:
+            self._start(ticket, now)
+            return Decision.RUN, None
+        shed = None
+        if len(self._queue) >= self.limit:
+            shed = self._queue[-1]
+            if shed.priority >= ticket.priority:
+                return Decision.REFUSE, None
+            self._queue.pop()
+        ticket.leaves_queue_at = min(now + QUEUE_WAIT, ticket.expires_at)
+        self._enqueue(ticket)
+        return Decision.WAIT, shed
+
+    def finish(self, ticket: Ticket) -> None:
+        """Free the slot of a call that has ended."""
+        self._running.discard(ticket)
+
+    def withdraw(self, ticket: Ticket) -> bool:
+        """Take a waiting call out.
+
+        Returns:
+            Whether the call was waiting.
+        """
+        if ticket not in self._queue:
+            return False
+        self._queue.remove(ticket)
+        return True
+
+    def admit(self, now: float) -> list[Ticket]:
+        """Start as many waiting calls as there are free slots."""
+        admitted: list[Ticket] = []
+        while self._queue and self.in_flight < self.limit:
+            ticket = self._queue.pop(0)
+            self._start(ticket, now)
+            admitted.append(ticket)
+        return admitted
+
+    def expire(self, now: float) -> list[Ticket]:
+        """Take out the calls that have waited long enough."""
+        expired = [
+            ticket for ticket in self._queue if now >= ticket.leaves_queue_at
+        ]
+        for ticket in expired:
+            self._queue.remove(ticket)
+        return expired
+
+    def _start(self, ticket: Ticket, now: float) -> None:
+        ticket.started_at = now
+        self._running.add(ticket)
+
+    def _enqueue(self, ticket: Ticket) -> None:
+        position = len(self._queue)
+        while position and self._queue[position - 1].priority < ticket.priority:
+            position -= 1
+        self._queue.insert(position, ticket)
--- /dev/null
+++ b/bluebellsill/announcements.py
@@ -0,0 +1,68 @@
+"""Serves the target beside the node: its announcements and its calls."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from bluebellsill.errors import ErrorKind, Problem
+from bluebellsill.http import Reply, Request, json_response, problem_response
+from bluebellsill.streams import Address
+from bluebellsill.target_runner import Announcement, TargetRunner
+
+if TYPE_CHECKING:
+    from bluebellsill.gateway import Gateway
+
+__all__ = ('ANNOUNCE_PATH', 'TargetApi')
+
+ANNOUNCE_PATH = '/v1/target'
+
+
+class TargetApi:
+    """Answers the target on a listener that only it can reach."""
+
+    def __init__(
+        self,
+        runner: TargetRunner,
+        gateway: Gateway,
+        node_id: str,
+    ) -> None:
+        """Create the API of the target beside ``node_id``."""
+        self._runner = runner
+        self._gateway = gateway
+        self._node_id = node_id
+
+    def handle(self, request: Request, reply: Reply) -> None:
+        """Take in an announcement or place a call of the target."""
+        if request.path == ANNOUNCE_PATH:
+            self._announce(request, reply)
+            return
+        announcement = self._runner.announcement
+        if announcement is None:
+            message = 'only a target that has announced itself may call'
+            _refuse(reply, ErrorKind.FORBIDDEN_CALLER, message)
+            return
+        self._gateway.handle(request, reply, announcement.service)
+
+    def _announce(self, request: Request, reply: Reply) -> None:
+        if request.method != 'PUT':
+            _refuse(reply, ErrorKind.METHOD_NOT_ALLOWED, request.method)
+            return
+        try:
+            announcement = msgspec.json.decode(request.body, type=Announcement)
+            Address.parse(announcement.address)
+        except (msgspec.DecodeError, ValueError) as error:
+            _refuse(reply, ErrorKind.BAD_REQUEST, f'announcement: {error}')
+            return
+        self._runner.announce(announcement)
+        document = {
+            'node': self._node_id,
+            'in_flight': self._runner.in_flight,
+        }
+        reply.send(json_response(HTTPStatus.OK, document))
+
+
+def _refuse(reply: Reply, kind: ErrorKind, message: str) -> None:
+    reply.send(problem_response(Problem(kind, message)))
--- /dev/null
+++ b/bluebellsill/calls.py
@@ -0,0 +1,172 @@
+"""Carries one call from its entry node to a target and back."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from bluebellsill.dispatch import Dispatch, Place
+from bluebellsill.errors import ErrorKind, Problem
+from bluebellsill.http import Response, end_to_end
+from bluebellsill.messages import Answer, Call, Cancel, Failure, Refusal
+from bluebellsill.peers import LinkLost, PeerLinks
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from bluebellsill.filters import Inbound
+    from bluebellsill.target_runner import Run, TargetRunner
+    from bluebellsill.timers import Timer
+
+__all__ = ('PlacedCall',)
+
+_REPLY_MARGIN = 0.05  # seconds that the node gets beyond the try's budget
+_NOT_FORWARDED = frozenset(('host', 'bluebellsill-deadline-ms'))
+
+Reply = Answer | Refusal | Failure | LinkLost
+
+
+class PlacedCall:
+    """One call on its way, try after try, until it has an outcome."""
+
+    def __init__(
+        self,
+        inbound: Inbound,
+        dispatch: Dispatch,
+        links: PeerLinks,
+        runner: TargetRunner,
+        own_id: str,
+        on_done: Callable[[Response | Problem], None],
+    ) -> None:
+        """Prepare a call; ``start`` begins it."""
+        self.dispatch = dispatch
+        self._inbound = inbound
+        self._links = links
+        self._runner = runner
+        self._own_id = own_id
+        self._on_done: Callable[[Response | Problem], None] | None = on_done
+        self._headers = [
+            pair
+            for pair in end_to_end(inbound.request.headers)
+            if pair[0] not in _NOT_FORWARDED
+        ]
+        self._timer: Timer | None = None
+        self._local_run: Run | None = None
+        self._request_id = 0
+        self._node_id = ''
+
+    def start(self) -> None:
+        """Send the call to the first target."""
+        self._act(self.dispatch.start())
+
+    def cancel(self) -> None:
+        """Stop: nobody waits for the answer any more."""
+        if self._on_done is None:
+            return
+        self._on_done = None
+        self.dispatch.on_abandoned()
+        self._end_try(is_cancelled=True)
+
+    def _act(self, decision: Place | Problem) -> None:
+        if isinstance(decision, Problem):
+            self._finish(decision)
+            return
+        call = self._call(decision)
+        self._request_id = call.id
+        self._node_id = decision.node_id
+        self._timer = self._links.reactor.timers.after(
+            decision.seconds + _REPLY_MARGIN,
+            self._on_timeout,
+        )
+        request_id = call.id
+
+        def on_reply(reply: Reply) -> None:
+            if self._request_id == request_id:
+                self._on_reply(reply)
+
+        if decision.node_id == self._own_id:
+            self._local_run = self._runner.run(call, on_reply)
+        else:
+            self._links.request(decision.node_id, call, on_reply)
+
+    def _call(self, place: Place) -> Call:
+        inbound = self._inbound
+        request = inbound.request
+        return Call(
+            self._links.next_id(),
+            inbound.service_name,
+            request.method,
+            request.path,
+            self._headers,
+            request.body,
+            int(place.seconds * 1000),
+            inbound.service.priority.rank,
+            inbound.is_idempotent,
+            inbound.fingerprint,
+            inbound.correlation,
+        )
+
+    def _on_reply(self, reply: Reply) -> None:
+        self._end_try(is_cancelled=False)
+        if isinstance(reply, Answer):
+            self._on_answer(reply)
+        elif isinstance(reply, Refusal):
+            kind = _kind(reply.kind)
+            self._act(
+                self.dispatch.on_refusal(kind, reply.in_flight, reply.limit),
+            )
+        elif isinstance(reply, Failure):
+            message = f'target beside {self._node_id} gave no whole answer'
+            self._act(self.dispatch.on_failure(_kind(reply.kind), message))
+        elif reply.is_sent:
+            message = f'connection to {self._node_id} lost: {reply.reason}'
+            kind = ErrorKind.TARGET_FAILED
+            self._act(self.dispatch.on_failure(kind, message))
+        else:
+            # Never connected, so the peer cannot have seen the call.
+            self._act(self.dispatch.on_refusal(ErrorKind.NO_TARGET, 1, 1))
+
+    def _on_answer(self, answer: Answer) -> None:
+        again = self.dispatch.on_answer(
+            answer.status,
+            answer.in_flight,
+            answer.limit,
+        )
+        if again is not None:
+            self._act(again)
+            return
+        self._finish(Response(answer.status, answer.headers, answer.body))
+
+    def _on_timeout(self) -> None:
+        self._end_try(is_cancelled=self._inbound.is_idempotent)
+        message = f'no answer from {self._node_id} in time'
+        self._act(self.dispatch.on_failure(ErrorKind.TIMED_OUT, message))
+
+    def _end_try(self, *, is_cancelled: bool) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        request_id = self._request_id
+        self._request_id = 0
+        run = self._local_run
+        self._local_run = None
+        if not is_cancelled or not request_id:
+            return
+        if self._node_id == self._own_id:
+            if run is not None:
+                self._runner.cancel(run)
+            return
+        self._links.forget(self._node_id, request_id)
+        self._links.send(self._node_id, Cancel(request_id))
+
+    def _finish(self, outcome: Response | Problem) -> None:
+        on_done = self._on_done
+        self._on_done = None
+        if on_done is not None:
+            on_done(outcome)
+
+
+def _kind(text: str) -> ErrorKind:
+    """Return a peer's error kind; one of a later version is internal."""
+    try:
+        return ErrorKind(text)
+    except ValueError:
+        return ErrorKind.INTERNAL
--- /dev/null
+++ b/bluebellsill/ctl_command.py
@@ -0,0 +1,342 @@
+"""The ``bluebellsillctl`` program of the operators."""
+
+from __future__ import annotations
+
+import os
+import sys
+from pathlib import Path
+from tomllib import TOMLDecodeError, loads
+from typing import Any
+
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+from msgspec import json
+from result import Err
+
+from bluebellsill import __version__
+from bluebellsill._validation import Fault
+from bluebellsill.operator_client import ApiError, OperatorClient
+from bluebellsill.resources import Kind, parse_spec
+
+__all__ = ('main',)
+
+EXIT_REFUSED = 1
+EXIT_USAGE = 2
+EXIT_UNREACHABLE = 3
+EXIT_LAGGING = 4
+
+_NODE_VARIABLE = 'BLUEBELLSILL_NODE'
+_TOKEN_VARIABLE = 'BLUEBELLSILL_TOKEN'  # noqa: S105
+_EXITS_BY_KIND = {
+    'unreachable': EXIT_UNREACHABLE,
+    'rolling_out': EXIT_LAGGING,
+}
+_WAIT_SECONDS = '10'
+_HELP = """\
+Exit codes: 0 done, 1 refused by the system, 2 wrong usage or file,
+3 the node cannot be reached, 4 not in force everywhere in time.
+"""
+_KINDS = ', '.join(kind.value for kind in Kind)
+
+
+class _UsageError(Exception):
+    """The command line or a file is not valid."""
+
+
+class _ApiCommand(Command):
+    """A command that talks to a node."""
+
+    help = _HELP
+    options = [
+        option(
+            'node',
+            None,
+            f"Operators' address of any node; else ${_NODE_VARIABLE}.",
+            flag=False,
+        ),
+        option(
+            'token',
+            None,
+            f"The operators' token; else ${_TOKEN_VARIABLE}.",
+            flag=False,
+        ),
+    ]
+
+    def handle(self) -> int:
+        """Run the command and turn errors into exit codes."""
+        try:
+            return self.act(self._client())
+        except _UsageError as error:
+            self.line_error(str(error))
+            return EXIT_USAGE
+        except ApiError as error:
+            self.line_error(str(error))
+            return _EXITS_BY_KIND.get(error.kind, EXIT_REFUSED)
+
+    def act(self, client: OperatorClient) -> int:
+        """Do what the command is for."""
+        raise AssertionError('every command acts')
+
+    def show(self, document: object) -> None:
+        """Print a document as JSON."""
+        text = json.format(json.encode(document), indent=2).decode()
+        sys.stdout.write(f'{text}\n')
+
+    def wait(self, client: OperatorClient, revision: int) -> int:
+        """Wait until a revision is in force everywhere."""
+        seconds = float(self.option('timeout'))
+        client.wait(revision, seconds)
+        self.line(f'revision {revision} is in force everywhere')
+        return 0
+
+    def _client(self) -> OperatorClient:
+        node = self.option('node') or os.environ.get(_NODE_VARIABLE, '')
+        token = self.option('token') or os.environ.get(_TOKEN_VARIABLE, '')
+        if not node or not token:
+            raise _UsageError('--node and --token are required')
+        try:
+            return OperatorClient(node, token)
+        except ValueError as error:
+            raise _UsageError(f'--node: {error}') from error
+
+
+_TIMEOUT = option(
+    'timeout',
+    None,
+    'Seconds to wait at most.',
+    flag=False,
+    default=_WAIT_SECONDS,
+)
+_NO_WAIT = option('no-wait', None, 'Return once the change is accepted.')
+
+
+class _ApplyCommand(_ApiCommand):
+    name = 'apply'
+    description = 'Declare the resources of a TOML file.'
+    options = [
+        *_ApiCommand.options,
+        option('file', 'f', 'The file, [services.NAME] and so on.', flag=False),
+        _TIMEOUT,
+        _NO_WAIT,
+    ]
+
+    def act(self, client: OperatorClient) -> int:
+        """Validate the whole file, then put each resource."""
+        resources = _read_resources(self.option('file') or '')
+        revision = 0
+        for kind, name, spec in resources:
+            change = client.put(kind.value, name, spec)
+            revision = change['revision']
+            self.line(f'{kind.value}/{name} accepted as revision {revision}')
+        if self.option('no-wait') or not revision:
+            return 0
+        return self.wait(client, revision)
+
+
+class _GetCommand(_ApiCommand):
+    name = 'get'
+    description = 'Show one resource, or all of a kind.'
+    arguments = [
+        argument('kind', f'One of {_KINDS}.'),
+        argument('name', 'The resource.', optional=True),
+    ]
+
+    def act(self, client: OperatorClient) -> int:
+        """Print the resource or the list."""
+        name = self.argument('name')
+        kind = _kind(self.argument('kind'))
+        path = f'{kind.value}/{name}' if name else kind.value
+        self.show(client.get(path))
+        return 0
+
+
+class _DeleteCommand(_ApiCommand):
+    name = 'delete'
+    description = 'Delete a declared resource.'
+    arguments = [
+        argument('kind', f'One of {_KINDS}.'),
+        argument('name', 'The resource.'),
+    ]
+
+    def act(self, client: OperatorClient) -> int:
+        """Delete the resource."""
+        kind = _kind(self.argument('kind'))
+        change = client.delete(kind.value, self.argument('name'))
+        self.line(f'accepted as revision {change["revision"]}')
+        return 0
+
+
+class _WatchCommand(_ApiCommand):
+    name = 'watch'
+    description = 'Print each change of a kind as it comes.'
+    arguments = [argument('kind', f'One of {_KINDS}.')]
+    options = [
+        *_ApiCommand.options,
+        option('after', None, 'The revision to start after.', flag=False),
+    ]
+
+    def act(self, client: OperatorClient) -> int:
+        """Print JSON lines until interrupted."""
+        kind = _kind(self.argument('kind'))
+        after = self.option('after')
+        if after is None:
+            after = client.get(kind.value)['revision']
+        for change in client.watch(kind.value, int(after)):
+            sys.stdout.write(json.encode(change).decode() + '\n')
+            sys.stdout.flush()
+        return 0
+
+
+class _WaitCommand(_ApiCommand):
+    name = 'wait'
+    description = 'Wait until a revision is in force everywhere.'
+    arguments = [argument('revision', 'The revision.')]
+    options = [*_ApiCommand.options, _TIMEOUT]
+
+    def act(self, client: OperatorClient) -> int:
+        """Wait for the revision."""
+        text = self.argument('revision')
+        if not text.isdecimal():
+            raise _UsageError(f'{text!r} is not a revision')
+        return self.wait(client, int(text))
+
+
+class _ServiceStateCommand(_ApiCommand):
+    """Takes an availability zone or a target out, or brings it back."""
+
+    in_service = False
+    arguments = [
+        argument('kind', 'availability-zones or targets.'),
+        argument('name', 'The availability zone or target.'),
+    ]
+    options = [*_ApiCommand.options, _TIMEOUT, _NO_WAIT]
+
+    def act(self, client: OperatorClient) -> int:
+        """Declare whether the resource is in service."""
+        kind = _kind(self.argument('kind'))
+        if kind not in {Kind.AVAILABILITY_ZONE, Kind.TARGET}:
+            raise _UsageError(f'{kind.value} cannot be taken out of service')
+        spec = {'in_service': self.in_service}
+        change = client.put(kind.value, self.argument('name'), spec)
+        self.line(f'accepted as revision {change["revision"]}')
+        if self.option('no-wait'):
+            return 0
+        return self.wait(client, change['revision'])
+
+
+class _DrainCommand(_ServiceStateCommand):
+    name = 'drain'
+    description = 'Take an availability zone or a target out of service.'
+    in_service = False
+
+
+class _ReturnCommand(_ServiceStateCommand):
+    name = 'return'
+    description = 'Bring an availability zone or a target back.'
+    in_service = True
+
+
+class _ShiftCommand(_ApiCommand):
+    name = 'shift'
+    description = 'Tell that a shift starts or ends.'
+    arguments = [argument('event', 'start or end.')]
+    options = [*_ApiCommand.options, _TIMEOUT, _NO_WAIT]
+
+    def act(self, client: OperatorClient) -> int:
+        """Declare whether a shift is running."""
+        event = self.argument('event')
+        if event not in {'start', 'end'}:
+            raise _UsageError(f'{event!r} is neither start nor end')
+        spec = {'running': event == 'start'}
+        change = client.put(Kind.SHIFT.value, 'current', spec)
+        if self.option('no-wait'):
+            return 0
+        return self.wait(client, change['revision'])
+
+
+class _StatusCommand(_ApiCommand):
+    name = 'status'
+    description = 'Show what is in force where, and the members.'
+
+    def act(self, client: OperatorClient) -> int:
+        """Print a line for each availability zone and each node."""
+        status = client.get('status')
+        self.line(f'revision {status["revision"]}: {status["condition"]}')
+        for name, zone in sorted(status['zones'].items()):
+            self.line(f'  {name}: {_zone_line(zone)}')
+        rows = [
+            [
+                member['id'],
+                member['availability_zone'],
+                member['service'] or '-',
+                member['state'],
+            ]
+            for member in client.get('members')['items']
+        ]
+        headers = ['target', 'availability zone', 'service', 'state']
+        self.render_table(headers, sorted(rows))
+        return 0
+
+
+def _zone_line(zone: dict[str, Any] | None) -> str:
+    if zone is None:
+        return 'no reader answers'
+    return (
+        f'{zone["members"]} nodes, {zone["lagging"]} lagging,'
+        f' {zone["in_flight"]} calls in flight'
+    )
+
+
+def _kind(text: str) -> Kind:
+    try:
+        return Kind(text)
+    except ValueError:
+        raise _UsageError(f'{text!r} is none of {_KINDS}') from None
+
+
+def _read_resources(file: str) -> list[tuple[Kind, str, dict[str, Any]]]:
+    if not file:
+        raise _UsageError('--file is required')
+    try:
+        document = loads(Path(file).read_text(encoding='utf-8'))
+    except (OSError, TOMLDecodeError, UnicodeDecodeError) as error:
+        raise _UsageError(f'{file}: {error}') from error
+    resources: list[tuple[Kind, str, dict[str, Any]]] = []
+    faults: list[Fault] = []
+    for kind_name, by_name in document.items():
+        kind = _kind(kind_name)
+        if not isinstance(by_name, dict):
+            raise _UsageError(f'{file}: {kind_name} is not a table')
+        for name, spec in by_name.items():
+            parsed = parse_spec(kind, name, spec)
+            if isinstance(parsed, Err):
+                faults.extend(
+                    Fault(
+                        f'{kind_name}.{name}.{one.key}', one.found, one.reason
+                    )
+                    for one in parsed.err_value
+                )
+            resources.append((kind, name, spec))
+    if faults:
+        lines = '\n'.join(f'{file}: {fault}' for fault in faults)
+        raise _UsageError(lines)
+    return resources
+
+
+def main() -> None:
+    """Run the program."""
+    application = Application('bluebellsillctl', __version__)
+    for command in (
+        _ApplyCommand,
+        _GetCommand,
+        _DeleteCommand,
+        _WatchCommand,
+        _WaitCommand,
+        _DrainCommand,
+        _ReturnCommand,
+        _ShiftCommand,
+        _StatusCommand,
+    ):
+        application.add(command())
+    application.run()
--- /dev/null
+++ b/bluebellsill/dispatch.py
@@ -0,0 +1,169 @@
+"""Decides what becomes of one call at its entry node."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+from bluebellsill.errors import ANSWERS_BY_KIND, ErrorKind, Problem, Run
+
+if TYPE_CHECKING:
+    from bluebellsill.clock import Clock
+    from bluebellsill.retries import RetryBudget
+    from bluebellsill.routing import Router, TargetView
+
+__all__ = ('Dispatch', 'Place')
+
+_MAX_TRIES = 4
+_RETRYABLE_STATUSES = frozenset(
+    (
+        HTTPStatus.BAD_GATEWAY,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        HTTPStatus.GATEWAY_TIMEOUT,
+    )
+)
+_MIN_BUDGET = 0.005  # seconds that a try needs to make sense
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Send the call to a target's node, for a limited time."""
+
+    node_id: str
+    seconds: float
+
+
+class Dispatch:
+    """Tries targets one after another, while that is safe and in budget.
+
+    A request that may have reached a target is tried again only if it is
+    idempotent. A refusal before that is tried elsewhere in any case.
+    """
+
+    def __init__(
+        self,
+        router: Router,
+        budget: RetryBudget,
+        clock: Clock,
+        *,
+        deadline: float,
+        is_idempotent: bool,
+    ) -> None:
+        """Prepare a call.
+
+        Args:
+            router: The targets of the service.
+            budget: Bounds the retries of the service.
+            clock: Tells the time.
+            deadline: When nobody waits any more.
+            is_idempotent: Whether running twice does no harm.
+        """
+        self._router = router
+        self._budget = budget
+        self._clock = clock
+        self._deadline = deadline
+        self._is_idempotent = is_idempotent
+        self._tried: list[str] = []
+        self._view: TargetView | None = None
+        self._sent_at: float = 0
+        self.may_have_run = False
+
+    def start(self) -> Place | Problem:
+        """Choose the first target."""
+        self._budget.on_call()
+        return self._place(Problem(ErrorKind.NO_TARGET, 'no target is ready'))
+
+    def on_answer(self, status: int, load: int, limit: int) -> Place | None:
+        """Take in a whole answer and the load at the target's node.
+
+        Args:
+            status: The HTTP status.
+            load: The calls that run or wait there.
+            limit: The calls that may run there.
+
+        Returns:
+            Where to try again, or None to pass the answer on.
+        """
+        now = self._clock.now()
+        view = self._end_try()
+        if view is not None:
+            view.on_report(load, limit, now)
+            if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+                # A target that fails fast must not look like a fast one.
+                view.on_failure(now)
+            else:
+                view.on_latency(now - self._sent_at, now)
+        if not self._is_idempotent or status not in _RETRYABLE_STATUSES:
+            return None
+        self.may_have_run = True
+        if not self._budget.take(was_dispatched=True):
+            return None
+        place = self._place(Problem(ErrorKind.TARGET_FAILED, 'shed'))
+        return place if isinstance(place, Place) else None
+
+    def on_refusal(
+        self,
+        kind: ErrorKind,
+        load: int,
+        limit: int,
+    ) -> Place | Problem:
+        """Take in a refusal: the target never saw the call."""
+        view = self._end_try()
+        now = self._clock.now()
+        if view is not None:
+            view.on_report(max(load, limit), limit, now)
+            if kind is not ErrorKind.OVERLOADED:
+                view.on_failure(now)
+        problem = Problem(kind, f'refused by {self._tried[-1]}')
+        if not ANSWERS_BY_KIND[kind].is_retryable_elsewhere:
+            return self._final(problem)
+        if not self._budget.take(was_dispatched=False):
+            return self._final(problem)
+        return self._place(problem)
+
+    def on_failure(self, kind: ErrorKind, message: str) -> Place | Problem:
+        """Take in a failure after which the target may have run the call."""
+        self.may_have_run = True
+        view = self._end_try()
+        if view is not None:
+            view.on_failure(self._clock.now())
+        problem = Problem(kind, message)
+        if not self._is_idempotent:
+            return Problem(ErrorKind.OUTCOME_UNKNOWN, message)
+        if not self._budget.take(was_dispatched=True):
+            return problem
+        return self._place(problem)
+
+    def on_abandoned(self) -> None:
+        """The caller went away."""
+        self._end_try()
+
+    def _place(self, problem: Problem) -> Place | Problem:
+        now = self._clock.now()
+        left = self._deadline - now
+        if len(self._tried) >= _MAX_TRIES or left < _MIN_BUDGET:
+            return self._final(problem)
+        view = self._router.choose(self._tried, now)
+        if view is None:
+            return self._final(problem)
+        self._tried.append(view.id)
+        self._view = view
+        self._sent_at = now
+        view.started.append(now)
+        is_last = len(self._tried) == _MAX_TRIES or not self._is_idempotent
+        # Half of the time is kept for another try, should this one hang.
+        return Place(view.id, left if is_last else left / 2)
+
+    def _end_try(self) -> TargetView | None:
+        view = self._view
+        self._view = None
+        if view is not None:
+            view.started.remove(self._sent_at)
+        return view
+
+    def _final(self, problem: Problem) -> Problem:
+        if self.may_have_run and problem.answer.run is Run.NOT_RUN:
+            # An earlier try may have run, whatever became of the last one.
+            return Problem(ErrorKind.TARGET_FAILED, problem.message)
+        return problem
--- /dev/null
+++ b/bluebellsill/filters.py
@@ -0,0 +1,184 @@
+"""The filter chain that each caller's request passes at its entry node."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from hashlib import blake2b
+from typing import TYPE_CHECKING, Protocol
+
+from result import Err, Ok, Result
+
+from bluebellsill.errors import ErrorKind, Problem
+from bluebellsill.resources import OUTSIDE, Service
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from bluebellsill.configuration import Configuration
+    from bluebellsill.http import Request
+    from bluebellsill.quarantine import Quarantine
+
+__all__ = (
+    'CallerFilter',
+    'DeadlineFilter',
+    'Filter',
+    'Inbound',
+    'QuarantineFilter',
+    'ServiceFilter',
+    'run_filters',
+)
+
+DEADLINE_HEADER = 'bluebellsill-deadline-ms'
+TENANT_HEADER = 'bluebellsill-tenant'
+KEY_HEADER = 'idempotency-key'
+_FINGERPRINT_SIZE = 8  # bytes
+_MAX_KEY_LENGTH = 200  # characters
+_IDEMPOTENT = frozenset(('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE', 'TRACE'))
+
+
+@dataclass(slots=True)
+class Inbound:
+    """A caller's request on its way through the entry node.
+
+    Attributes:
+        request: What the caller sent.
+        caller: ``outside`` or the service of the calling target.
+        correlation: Names the call in the logs of all nodes.
+        received_at: When it arrived, in seconds.
+        service_name: The first segment of the path.
+        service: The declared service.
+        deadline: When the caller waits no longer.
+        fingerprint: A hash that equal requests share.
+        tenant: Whom the call is counted for.
+    """
+
+    request: Request
+    caller: str
+    correlation: str
+    received_at: float
+    service_name: str = ''
+    service: Service = Service()
+    deadline: float = 0
+    fingerprint: int = 0
+    tenant: str = ''
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Whether running the request twice does no harm (RFC 9110)."""
+        return self.request.method in _IDEMPOTENT
+
+    @property
+    def key(self) -> str:
+        """The idempotency key of a request that needs one, or empty."""
+        return '' if self.is_idempotent else self.request.header(KEY_HEADER)
+
+    @property
+    def scoped_key(self) -> str:
+        """The key within its tenant and service."""
+        return f'{self.tenant}\0{self.service_name}\0{self.key}'
+
+
+class Filter(Protocol):
+    """One step of the chain."""
+
+    def apply(self, inbound: Inbound) -> Result[None, Problem]:
+        """Complete the inbound request or refuse it."""
+
+
+class ServiceFilter:
+    """Finds the service that the path names."""
+
+    def __init__(self, configuration: Configuration) -> None:
+        """Look services up in the configuration in force."""
+        self._configuration = configuration
+
+    def apply(self, inbound: Inbound) -> Result[None, Problem]:
+        """Set the service or refuse an unknown one."""
+        name = inbound.request.path.partition('?')[0].split('/')[1:2]
+        inbound.service_name = name[0] if name else ''
+        service = self._configuration.service(inbound.service_name)
+        if service is None:
+            message = f'service {inbound.service_name!r} is not declared'
+            return Err(Problem(ErrorKind.UNKNOWN_SERVICE, message))
+        inbound.service = service
+        return Ok(None)
+
+
+class CallerFilter:
+    """Lets only declared callers through."""
+
+    def apply(self, inbound: Inbound) -> Result[None, Problem]:
+        """Refuse callers that the service does not name."""
+        if inbound.caller in inbound.service.callers:
+            inbound.tenant = inbound.request.header(TENANT_HEADER)[:64] or (
+                inbound.caller
+            )
+            return Ok(None)
+        who = 'outside callers' if inbound.caller == OUTSIDE else inbound.caller
+        message = f'{who} may not call {inbound.service_name}'
+        return Err(Problem(ErrorKind.FORBIDDEN_CALLER, message))
+
+
+class DeadlineFilter:
+    """Sets the deadline: the service's, or the caller's if that is earlier."""
+
+    def __init__(self, now: Callable[[], float]) -> None:
+        """Read the time, in seconds, from ``now``."""
+        self._now = now
+
+    def apply(self, inbound: Inbound) -> Result[None, Problem]:
+        """Set the deadline, or refuse a malformed or expired one."""
+        text = inbound.request.header(DEADLINE_HEADER)
+        budget_ms = inbound.service.deadline_ms
+        if text:
+            if not text.isdecimal():
+                message = f'{DEADLINE_HEADER} {text!r} is not a whole number'
+                return Err(Problem(ErrorKind.BAD_REQUEST, message))
+            budget_ms = min(budget_ms, int(text))
+        inbound.deadline = inbound.received_at + budget_ms / 1000
+        if self._now() >= inbound.deadline:
+            message = f'deadline of {budget_ms} ms has passed'
+            return Err(Problem(ErrorKind.EXPIRED, message))
+        return Ok(None)
+
+
+class QuarantineFilter:
+    """Refuses requests that crashed the targets that ran them."""
+
+    def __init__(
+        self,
+        quarantine: Quarantine,
+        now: Callable[[], float],
+    ) -> None:
+        """Ask ``quarantine`` at the time that ``now`` tells."""
+        self._quarantine = quarantine
+        self._now = now
+
+    def apply(self, inbound: Inbound) -> Result[None, Problem]:
+        """Set the fingerprint, refuse a quarantined one and long keys."""
+        request = inbound.request
+        digest = blake2b(digest_size=_FINGERPRINT_SIZE)
+        for part in (request.method, request.path, inbound.tenant):
+            digest.update(part.encode())
+            digest.update(b'\0')
+        digest.update(request.body)
+        inbound.fingerprint = int.from_bytes(digest.digest(), 'big')
+        if self._quarantine.is_refused(inbound.fingerprint, self._now()):
+            message = 'request has crashed the targets that ran it'
+            return Err(Problem(ErrorKind.QUARANTINED, message))
+        if len(inbound.key) > _MAX_KEY_LENGTH:
+            message = f'idempotency key is above {_MAX_KEY_LENGTH} characters'
+            return Err(Problem(ErrorKind.BAD_REQUEST, message))
+        return Ok(None)
+
+
+def run_filters(
+    filters: Sequence[Filter],
+    inbound: Inbound,
+) -> Result[None, Problem]:
+    """Apply each filter until one refuses."""
+    for one in filters:
+        outcome = one.apply(inbound)
+        if isinstance(outcome, Err):
+            return outcome
+    return Ok(None)
--- /dev/null
+++ b/bluebellsill/gossip.py
@@ -0,0 +1,93 @@
+"""The UDP socket of the membership and the spread of revisions."""
+
+from __future__ import annotations
+
+from socket import AF_INET, SO_RCVBUF, SOCK_DGRAM, SOL_SOCKET, socket
+from typing import TYPE_CHECKING
+
+from bluebellsill.logs import get_logger
+from bluebellsill.messages import MessageError, decode, encode
+from bluebellsill.streams import Address
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from bluebellsill.messages import Message
+    from bluebellsill.reactor import Reactor
+    from bluebellsill.swim import Send
+
+__all__ = ('Gossip',)
+
+_MAX_DATAGRAM = 65507  # bytes
+_RECEIVE_BUFFER = 1048576  # bytes
+
+
+class Gossip:
+    """Sends and receives the datagrams between nodes."""
+
+    def __init__(
+        self,
+        reactor: Reactor,
+        address: Address,
+        on_message: Callable[[Message], None],
+    ) -> None:
+        """Bind the socket.
+
+        Raises:
+            OSError: The address cannot be bound.
+        """
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        self._on_message = on_message
+        self._log = get_logger('gossip')
+        self._socket = socket(AF_INET, SOCK_DGRAM)
+        self._socket.setsockopt(SOL_SOCKET, SO_RCVBUF, _RECEIVE_BUFFER)
+        self._socket.bind(address)
+        self._socket.setblocking(False)
+        self._reactor = reactor
+        reactor.add(self)
+
+    def fileno(self) -> int:
+        """Return the socket's file descriptor."""
+        return self._socket.fileno()
+
+    def send_all(self, sends: list[Send]) -> None:
+        """Send datagrams; a lost one is made up for by later ones."""
+        for send in sends:
+            self.send(send.address, send.message)
+
+    def send(self, address: str, message: Message) -> None:
+        """Send one datagram."""
+        payload = encode(message)
+        try:
+            self._socket.sendto(payload, Address.parse(address))
+        except (OSError, ValueError) as error:
+            self._log.debug('not sent', to=address, reason=str(error))
+            return
+        self.bytes_sent += len(payload)
+
+    def on_readable(self) -> None:
+        """Handle every datagram that waits."""
+        while True:
+            try:
+                payload = self._socket.recv(_MAX_DATAGRAM)
+            except BlockingIOError:
+                return
+            except OSError:
+                # An ICMP error of an earlier datagram; the detector copes.
+                continue
+            self.bytes_received += len(payload)
+            try:
+                message = decode(payload)
+            except MessageError as error:
+                self._log.warning('datagram ignored', reason=str(error))
+                continue
+            self._on_message(message)
+
+    def on_writable(self) -> None:
+        """Do nothing: datagrams are never queued."""
+
+    def close(self) -> None:
+        """Close the socket."""
+        self._reactor.remove(self)
+        self._socket.close()
--- /dev/null
+++ b/bluebellsill/idempotency.py
@@ -0,0 +1,296 @@
+"""Remembers keyed requests, so that each runs at most once.
+
+Two nodes beside targets of the called service hold the record of a key:
+those that rank highest for it. A request runs only after both have
+granted the claim. Each holder checks that it sees the same pair, and
+that since the key was made every pair of holders had a member in common
+with the present one. Where that is not certain, the record may be lost
+and the request is not run.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from dataclasses import dataclass, field
+from enum import IntEnum, unique
+from typing import TYPE_CHECKING
+from uuid import UUID
+
+from bluebellsill.rendezvous import rank
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from bluebellsill.messages import Member, Pairs
+
+__all__ = (
+    'ClaimState',
+    'Grant',
+    'HolderHistory',
+    'KeyHolder',
+    'Outcome',
+    'holders_of',
+    'key_time',
+)
+
+HOLDERS = 2
+RETENTION = 600  # seconds that a key is remembered
+FENCE = 5.0  # seconds; covers clock skew and the detection of failures
+MAX_KEPT_BODY = 16384  # bytes
+_MAX_RECORDS = 20000
+_UUID7 = 7
+
+
+@unique
+class ClaimState(IntEnum):
+    """A holder's answer to a claim."""
+
+    GRANTED = 0
+    UNCERTAIN = 1
+    IN_PROGRESS = 2
+    COMPLETED = 3
+    COMPLETED_WITHOUT_BODY = 4
+    UNKNOWN = 5
+    REUSED = 6
+    NOT_HOLDER = 7
+    FULL = 8
+
+
+@unique
+class Outcome(IntEnum):
+    """How a claimed request ended."""
+
+    NOT_RUN = 0
+    ANSWERED = 1
+    UNKNOWN = 2
+
+
+@dataclass(slots=True)
+class Grant:
+    """What a claim came to, with the recorded answer of an earlier run."""
+
+    state: ClaimState
+    status: int = 0
+    headers: Pairs = field(default_factory=list)
+    body: bytes = b''
+
+
+@dataclass(slots=True)
+class _Record:
+    """One key: who claimed it and how the request ended."""
+
+    owner: str
+    fingerprint: int
+    claimed_until: float
+    outcome: Outcome | None = None
+    has_body: bool = True
+    status: int = 0
+    headers: Pairs = field(default_factory=list)
+    body: bytes = b''
+
+
+@dataclass(frozen=True, slots=True)
+class _Epoch:
+    """The members of a service between two changes."""
+
+    started_at: float
+    lives_by_id: dict[str, int]
+
+
+def key_time(key: str) -> float | None:
+    """Return when a key was made, if it tells.
+
+    Args:
+        key: The caller's key; a version 7 UUID (RFC 9562) tells its time.
+
+    Returns:
+        Seconds since 1970, or None.
+    """
+    try:
+        uuid = UUID(key)
+    except ValueError:
+        return None
+    if uuid.version != _UUID7:
+        return None
+    return (uuid.int >> 80) / 1000
+
+
+def holders_of(key: str, member_ids: Iterable[str]) -> list[str]:
+    """Return the nodes that hold the record of a key."""
+    return rank(key, member_ids, HOLDERS)
+
+
+class HolderHistory:
+    """Which members a service had over the time that keys are remembered."""
+
+    def __init__(self, now: float) -> None:
+        """Start to know the members at ``now``, seconds since 1970."""
+        self._known_since = now
+        self._epochs: deque[_Epoch] = deque()
+        self._lost_at_by_life: dict[tuple[str, int], float] = {}
+
+    def observe(self, members: Iterable[Member], now: float) -> None:
+        """Note the present members.
+
+        Args:
+            members: The members of the service that are not gone.
+            now: Seconds since 1970.
+        """
+        lives = {member.id: member.incarnation for member in members}
+        if self._epochs and self._epochs[-1].lives_by_id == lives:
+            return
+        self._epochs.append(_Epoch(now, lives))
+        while len(self._epochs) > 1:
+            if now - self._epochs[1].started_at < RETENTION:
+                break
+            self._epochs.popleft()
+
+    def on_lost(self, member: Member, now: float) -> None:
+        """Note that a member went without taking leave."""
+        self._lost_at_by_life[member.id, member.incarnation] = now
+
+    def has_majority(self, now: float) -> bool:
+        """Return whether this side of a cut is the larger one."""
+        for life, lost_at in tuple(self._lost_at_by_life.items()):
+            if now - lost_at > RETENTION:
+                del self._lost_at_by_life[life]
+        live = self._epochs[-1].lives_by_id if self._epochs else {}
+        # A member that came back in a new life counts as live only.
+        lost = {one for one, _ in self._lost_at_by_life if one not in live}
+        return len(live) > len(lost)
+
+    def holders(self, key: str) -> list[str]:
+        """Return the present holders of a key."""
+        if not self._epochs:
+            return []
+        return holders_of(key, self._epochs[-1].lives_by_id)
+
+    def is_certain(self, key: str, made_at: float | None, now: float) -> bool:
+        """Return whether the present holders must know an earlier claim.
+
+        Args:
+            key: The scoped key.
+            made_at: When the key was made, if it tells.
+            now: Seconds since 1970.
+        """
+        since = now - RETENTION
+        if made_at is not None:
+            since = max(since, made_at - FENCE)
+        if since < self._known_since:
+            return False
+        present = self._lives(key, self._epochs[-1])
+        ended_at = now
+        for epoch in reversed(self._epochs):
+            if not present & self._lives(key, epoch):
+                return False
+            ended_at = epoch.started_at
+            if ended_at <= since:
+                break
+        return True
+
+    def _lives(self, key: str, epoch: _Epoch) -> set[tuple[str, int]]:
+        lives = epoch.lives_by_id
+        return {(one, lives[one]) for one in holders_of(key, lives)}
+
+
+class KeyHolder:
+    """The records of the keys that one node holds."""
+
+    def __init__(self) -> None:
+        """Create a holder without records."""
+        self._records_by_key: OrderedDict[str, _Record] = OrderedDict()
+
+    def __len__(self) -> int:
+        """Return the number of records."""
+        return len(self._records_by_key)
+
+    def claim(
+        self,
+        key: str,
+        owner: str,
+        fingerprint: int,
+        *,
+        lifetime: float,
+        now: float,
+        is_certain: bool,
+    ) -> Grant:
+        """Claim the right to run a keyed request.
+
+        Args:
+            key: The scoped key.
+            owner: Names the attempt that claims it.
+            fingerprint: The hash of the request.
+            lifetime: Seconds until an unsettled claim counts as unknown.
+            now: The time of the local clock in seconds.
+            is_certain: Whether an unseen key has certainly not been run.
+        """
+        self._expire(now)
+        record = self._records_by_key.get(key)
+        if record is not None:
+            return _judge(record, owner, fingerprint, now)
+        if len(self._records_by_key) >= _MAX_RECORDS:
+            return Grant(ClaimState.FULL)
+        record = _Record(owner, fingerprint, now + lifetime)
+        self._records_by_key[key] = record
+        state = ClaimState.GRANTED if is_certain else ClaimState.UNCERTAIN
+        return Grant(state)
+
+    def settle(
+        self,
+        key: str,
+        owner: str,
+        outcome: Outcome,
+        answer: tuple[int, Pairs, bytes] | None = None,
+    ) -> None:
+        """Note how a claimed request ended; only its owner can.
+
+        Args:
+            key: The scoped key.
+            owner: Who claimed it.
+            outcome: How it ended; a request not run frees the key.
+            answer: The status, headers and body, if answered.
+        """
+        record = self._records_by_key.get(key)
+        if record is None or record.owner != owner:
+            return
+        if outcome is Outcome.NOT_RUN:
+            if record.outcome is None:
+                del self._records_by_key[key]
+            return
+        record.outcome = outcome
+        if answer is None:
+            return
+        record.status, record.headers, body = answer
+        record.has_body = len(body) <= MAX_KEPT_BODY
+        record.body = body if record.has_body else b''
+
+    def _expire(self, now: float) -> None:
+        while self._records_by_key:
+            key, record = next(iter(self._records_by_key.items()))
+            if now - record.claimed_until < RETENTION:
+                return
+            del self._records_by_key[key]
+
+
+def _judge(
+    record: _Record,
+    owner: str,
+    fingerprint: int,
+    now: float,
+) -> Grant:
+    if record.fingerprint != fingerprint:
+        return Grant(ClaimState.REUSED)
+    if record.outcome is Outcome.UNKNOWN:
+        return Grant(ClaimState.UNKNOWN)
+    if record.outcome is None:
+        if now >= record.claimed_until:
+            return Grant(ClaimState.UNKNOWN)
+        return Grant(ClaimState.IN_PROGRESS)
+    if not record.has_body:
+        return Grant(ClaimState.COMPLETED_WITHOUT_BODY)
+    return Grant(
+        ClaimState.COMPLETED,
+        record.status,
+        record.headers,
+        record.body,
+    )
--- /dev/null
+++ b/bluebellsill/key_registry.py
@@ -0,0 +1,113 @@
+"""Claims of idempotency keys, at this node and at others."""
+
+from __future__ import annotations
+
+from time import time
+from typing import TYPE_CHECKING
+
+from msgspec.structs import replace
+
+from bluebellsill.idempotency import (
+    ClaimState,
+    HolderHistory,
+    KeyHolder,
+    Outcome,
+    holders_of,
+    key_time,
+)
+from bluebellsill.membership import MemberState
+from bluebellsill.messages import Claim, ClaimReply, Settle
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from bluebellsill.membership import Members
+    from bluebellsill.messages import Member
+    from bluebellsill.peers import LinkLost, PeerLinks
+
+__all__ = ('KeyRegistry',)
+
+
+class KeyRegistry:
+    """Holds this node's records and reaches those of other nodes."""
+
+    def __init__(self, members: Members, links: PeerLinks) -> None:
+        """Create a registry without records."""
+        self.holder = KeyHolder()
+        self._history = HolderHistory(time())
+        self._members = members
+        self._links = links
+        members.subscribe(self._on_member_changed)
+
+    def holders(self, service: str, scoped_key: str) -> list[str]:
+        """Return the holders that this node sees, highest rank first."""
+        ids = [member.id for member in self._members.of_service(service)]
+        return holders_of(scoped_key, ids)
+
+    def claim(
+        self,
+        holder: str,
+        claim: Claim,
+        on_reply: Callable[[ClaimReply | LinkLost], None],
+    ) -> None:
+        """Ask a holder, which may be this node, for a claim."""
+        if holder == self._members.own.id:
+            on_reply(self.grant(claim))
+            return
+        numbered = replace(claim, id=self._links.next_id())
+        self._links.request(holder, numbered, on_reply)
+
+    def settle(self, holder: str, settle: Settle) -> None:
+        """Tell a holder, which may be this node, how a request ended."""
+        if holder == self._members.own.id:
+            self.take_settle(settle)
+        else:
+            self._links.send(holder, settle)
+
+    def grant(self, claim: Claim) -> ClaimReply:
+        """Answer a claim as one of the holders of its key."""
+        now = time()
+        is_holder = self._history.holders(claim.key) == claim.holders
+        if not is_holder or not self._history.has_majority(now):
+            return ClaimReply(claim.id, int(ClaimState.NOT_HOLDER))
+        made_at = key_time(claim.key.rpartition('\0')[2])
+        grant = self.holder.claim(
+            claim.key,
+            claim.owner,
+            claim.fingerprint,
+            lifetime=claim.lifetime_ms / 1000,
+            now=self._links.now(),
+            is_certain=self._history.is_certain(claim.key, made_at, now),
+        )
+        return ClaimReply(
+            claim.id,
+            int(grant.state),
+            grant.status,
+            grant.headers,
+            grant.body,
+        )
+
+    def take_settle(self, settle: Settle) -> None:
+        """Note how a claimed request ended."""
+        answer = (settle.status, settle.headers, settle.body)
+        self.holder.settle(
+            settle.key,
+            settle.owner,
+            Outcome(settle.outcome),
+            answer if settle.outcome == Outcome.ANSWERED else None,
+        )
+
+    def _on_member_changed(self, known: Member | None, record: Member) -> None:
+        service = self._members.own.service
+        if not service:
+            return
+        now = time()
+        if (
+            known is not None
+            and known.service == service
+            and known.state == MemberState.SUSPECT
+            and record.state == MemberState.GONE
+        ):
+            self._history.on_lost(known, now)
+        if service in {record.service, known.service if known else ''}:
+            self._history.observe(self._members.of_service(service), now)
--- /dev/null
+++ b/bluebellsill/keyed_call.py
@@ -0,0 +1,201 @@
+"""Runs a request with an idempotency key at most once."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+from bluebellsill.errors import ErrorKind, Problem, Run
+from bluebellsill.http import Response
+from bluebellsill.idempotency import ClaimState, Outcome
+from bluebellsill.messages import Claim, ClaimReply, Settle
+from bluebellsill.peers import LinkLost
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from bluebellsill.filters import Inbound
+
+__all__ = ('KeyedCall', 'KeyHolders')
+
+_CLAIM_MARGIN = 5.0  # seconds beyond the deadline until a claim is unknown
+
+_PROBLEMS_BY_STATE = {
+    ClaimState.IN_PROGRESS: Problem(
+        ErrorKind.KEY_IN_PROGRESS,
+        'a request with this key is running; ask again later',
+    ),
+    ClaimState.COMPLETED_WITHOUT_BODY: Problem(
+        ErrorKind.KEY_COMPLETED,
+        'the request with this key ran; its answer was too long to keep',
+    ),
+    ClaimState.UNKNOWN: Problem(
+        ErrorKind.OUTCOME_UNKNOWN,
+        'a request with this key may have run; its outcome was lost',
+    ),
+    ClaimState.REUSED: Problem(
+        ErrorKind.KEY_REUSED,
+        'this key was used for another request',
+    ),
+    ClaimState.NOT_HOLDER: Problem(
+        ErrorKind.KEY_UNAVAILABLE,
+        'the nodes disagree on who holds this key; ask again soon',
+    ),
+    ClaimState.FULL: Problem(
+        ErrorKind.KEY_UNAVAILABLE,
+        'a holder of this key has no room for more records',
+    ),
+}
+
+
+class KeyHolders(Protocol):
+    """How claims reach the holders of a key."""
+
+    def holders(self, service: str, scoped_key: str) -> list[str]:
+        """Return the holders that this node sees, highest rank first."""
+
+    def claim(
+        self,
+        holder: str,
+        claim: Claim,
+        on_reply: Callable[[ClaimReply | LinkLost], None],
+    ) -> None:
+        """Ask a holder for a claim."""
+
+    def settle(self, holder: str, settle: Settle) -> None:
+        """Tell a holder how a claimed request ended."""
+
+
+class KeyedCall:
+    """Claims the key at each holder in turn, then runs the request.
+
+    The holder of the highest rank is asked first, so that of two equal
+    requests at most one goes on to the second holder.
+    """
+
+    def __init__(
+        self,
+        inbound: Inbound,
+        key_holders: KeyHolders,
+        run: Callable[[Callable[[Response | Problem], None]], None],
+        on_done: Callable[[Response | Problem], None],
+        now: float,
+    ) -> None:
+        """Prepare a call; ``start`` begins it.
+
+        Args:
+            inbound: The caller's request.
+            key_holders: Reach the holders.
+            run: Runs the request once the claim is granted.
+            on_done: Called once with the outcome.
+            now: The time in seconds.
+        """
+        self._inbound = inbound
+        self._key_holders = key_holders
+        self._run = run
+        self._on_done = on_done
+        self._lifetime_ms = int(
+            (max(0, inbound.deadline - now) + _CLAIM_MARGIN) * 1000,
+        )
+        self._holders: list[str] = []
+        self._granted: list[str] = []
+        self._is_certain = False
+
+    def start(self) -> None:
+        """Claim the key at the first holder."""
+        inbound = self._inbound
+        self._holders = self._key_holders.holders(
+            inbound.service_name,
+            inbound.scoped_key,
+        )
+        if not self._holders:
+            message = f'no node holds keys of {inbound.service_name}'
+            self._refuse(Problem(ErrorKind.KEY_UNAVAILABLE, message))
+            return
+        self._claim_next()
+
+    def _claim_next(self) -> None:
+        holder = self._holders[len(self._granted)]
+        inbound = self._inbound
+        claim = Claim(
+            0,
+            inbound.scoped_key,
+            inbound.fingerprint,
+            inbound.correlation,
+            self._lifetime_ms,
+            self._holders,
+        )
+        self._key_holders.claim(
+            holder,
+            claim,
+            lambda reply: self._on_reply(holder, reply),
+        )
+
+    def _on_reply(self, holder: str, reply: ClaimReply | LinkLost) -> None:
+        if isinstance(reply, LinkLost):
+            # The claim may have been granted: give it back all the same.
+            self._granted.append(holder)
+            message = f'holder {holder} of this key did not answer'
+            self._refuse(Problem(ErrorKind.KEY_UNAVAILABLE, message))
+            return
+        state = _claim_state(reply.state)
+        if state in {ClaimState.GRANTED, ClaimState.UNCERTAIN}:
+            self._is_certain |= state is ClaimState.GRANTED
+            self._granted.append(holder)
+            self._on_granted()
+        elif state is ClaimState.COMPLETED:
+            self._release()
+            headers = [*reply.headers, ('idempotency-replayed', 'true')]
+            response = Response(reply.status, headers, reply.body)
+            self._on_done(response)
+        else:
+            self._refuse(_PROBLEMS_BY_STATE[state])
+
+    def _on_granted(self) -> None:
+        if len(self._granted) < len(self._holders):
+            self._claim_next()
+        elif self._is_certain:
+            self._run(self._on_run)
+        else:
+            message = 'the record of this key may be lost; it may have run'
+            self._refuse(Problem(ErrorKind.OUTCOME_UNKNOWN, message))
+
+    def _on_run(self, outcome: Response | Problem) -> None:
+        inbound = self._inbound
+        if isinstance(outcome, Response):
+            settle = Settle(
+                inbound.scoped_key,
+                inbound.correlation,
+                int(Outcome.ANSWERED),
+                outcome.status,
+                outcome.headers,
+                outcome.body,
+            )
+        else:
+            has_not_run = outcome.answer.run is Run.NOT_RUN
+            ended = Outcome.NOT_RUN if has_not_run else Outcome.UNKNOWN
+            settle = Settle(inbound.scoped_key, inbound.correlation, int(ended))
+        for holder in self._granted:
+            self._key_holders.settle(holder, settle)
+        self._on_done(outcome)
+
+    def _refuse(self, problem: Problem) -> None:
+        self._release()
+        self._on_done(problem)
+
+    def _release(self) -> None:
+        inbound = self._inbound
+        release = Settle(
+            inbound.scoped_key,
+            inbound.correlation,
+            int(Outcome.NOT_RUN),
+        )
+        for holder in self._granted:
+            self._key_holders.settle(holder, release)
+
+
+def _claim_state(number: int) -> ClaimState:
+    """Return a peer's claim state; one of a later version is unknown."""
+    try:
+        return ClaimState(number)
+    except ValueError:
+        return ClaimState.UNKNOWN
--- /dev/null
+++ b/bluebellsill/load.py
@@ -0,0 +1,256 @@
+"""Plays callers in an open loop and measures what they are answered."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from http import HTTPStatus
+from random import Random
+from time import time
+from typing import TYPE_CHECKING, Annotated, Any
+from uuid import UUID
+
+from circuits import BaseComponent
+from msgspec import Meta, Struct
+from result import Err, Result
+
+from bluebellsill.clock import SystemClock
+from bluebellsill.http import Request, Response
+from bluebellsill.http_client import HttpFailure, HttpPool
+from bluebellsill.metrics import Latencies, summarize
+from bluebellsill.reactor import Reactor
+from bluebellsill.streams import Address
+from bluebellsill.timers import TimerService
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = ('Load', 'LoadPlan', 'Stream')
+
+_TIMEOUT = 10.0  # seconds
+_TICK = 0.001  # seconds
+_UUID7_VERSION = 0x7 << 76
+_UUID_VARIANT = 0x2 << 62
+
+AddressText = Annotated[str, Meta(pattern=r'^[0-9.]{7,15}:[0-9]{1,5}$')]
+
+
+class Stream(Struct, frozen=True):
+    """Calls of one kind.
+
+    Attributes:
+        name: Names the stream in the report.
+        path: The request target, whose first segment names the service.
+        rate: Calls a second.
+        method: The HTTP method.
+        tenant: Whom the calls belong to.
+        is_keyed: Whether each call carries an idempotency key.
+        size: The length of the answer that the path asks for, in bytes.
+        direct: Targets to call instead of the system, for a baseline.
+        starts_at: Seconds into the run at which the stream starts.
+        ends_at: Seconds into the run at which the stream ends.
+    """
+
+    name: str
+    path: str
+    rate: Annotated[float, Meta(gt=0, le=20000)]
+    method: str = 'GET'
+    tenant: str = 'demo'
+    is_keyed: bool = False
+    size: int = 0
+    direct: list[AddressText] = []
+    starts_at: float = 0
+    ends_at: float = 1e9
+
+
+class LoadPlan(Struct, frozen=True):
+    """What a load plays: all its streams, for a while.
+
+    Attributes:
+        seconds: How long calls are started.
+        entries: The caller listeners of the entry nodes.
+        streams: The kinds of calls.
+        seed: Seeds the arrivals.
+    """
+
+    seconds: Annotated[float, Meta(gt=0, le=3600)]
+    entries: list[AddressText]
+    streams: list[Stream]
+    seed: int = 1
+
+
+@dataclass(slots=True)
+class _Source:
+    """The next arrival of a stream."""
+
+    stream: Stream
+    due: float
+    index: int = 0
+
+
+class Load(BaseComponent):
+    """Starts calls at their intended times, whatever the answers do."""
+
+    channel = 'load'
+
+    def __init__(self, plan: LoadPlan, on_end: Callable[[], None]) -> None:
+        """Prepare to play a plan."""
+        super().__init__()
+        self._timers = TimerService(SystemClock())
+        self._reactor = Reactor(self._timers).register(self)
+        self._plan = plan
+        self._on_end = on_end
+        self._random = Random(plan.seed)
+        self._pools = {
+            address: HttpPool(self._reactor, Address.parse(address))
+            for address in _addresses(plan)
+        }
+        self._started_at: float = 0
+        self._sources: list[_Source] = []
+        self._waiting = 0
+        self._nonce = 0
+        self._latencies_by_stream: dict[str, Latencies] = {}
+        self._overheads_by_stream: dict[str, Latencies] = {}
+        self._latencies_by_tenant: dict[str, Latencies] = {}
+        self._counts_by_stream: dict[str, Counter[str]] = {}
+        self._timers.after(0, self._start)
+
+    def report(self) -> dict[str, Any]:
+        """Return what was measured as JSON types."""
+        streams = {
+            name: {
+                'counts': dict(counts),
+                'latency': self._latencies_by_stream[name].summary(),
+                'overhead': self._overheads_by_stream[name].summary(),
+            }
+            for name, counts in self._counts_by_stream.items()
+        }
+        totals: Counter[str] = Counter()
+        for counts in self._counts_by_stream.values():
+            totals.update(counts)
+        return {
+            'counts': dict(totals),
+            'streams': streams,
+            'by_tenant': summarize(self._latencies_by_tenant),
+        }
+
+    def _start(self) -> None:
+        now = self._timers.clock.now()
+        self._started_at = now
+        for stream in self._plan.streams:
+            due = now + stream.starts_at + self._gap(stream)
+            self._sources.append(_Source(stream, due))
+            self._counts_by_stream[stream.name] = Counter()
+            self._latencies_by_stream[stream.name] = Latencies()
+            self._overheads_by_stream[stream.name] = Latencies()
+        self._timers.every(_TICK, self._tick)
+
+    def _gap(self, stream: Stream) -> float:
+        return self._random.expovariate(stream.rate)
+
+    def _tick(self) -> None:
+        now = self._timers.clock.now()
+        elapsed = now - self._started_at
+        if elapsed >= self._plan.seconds:
+            if not self._waiting or elapsed > self._plan.seconds + _TIMEOUT:
+                self.stop()
+                self._on_end()
+            return
+        for source in self._sources:
+            end = self._started_at + source.stream.ends_at
+            while source.due <= now and source.due < end:
+                self._call(source)
+                source.due += self._gap(source.stream)
+
+    def _call(self, source: _Source) -> None:
+        stream = source.stream
+        self._nonce += 1
+        nonce = f'{stream.name}-{self._plan.seed}-{self._nonce}'
+        headers = [
+            ('x-nonce', nonce),
+            ('bluebellsill-tenant', stream.tenant),
+        ]
+        if stream.method == 'POST':
+            headers.append(('x-order', nonce))
+        if stream.is_keyed:
+            headers.append(('idempotency-key', str(self._new_key())))
+        body = nonce.encode() if stream.method == 'POST' else b''
+        addresses = stream.direct or self._plan.entries
+        address = addresses[source.index % len(addresses)]
+        source.index += 1
+        headers.append(('host', address))
+        request = Request(stream.method, stream.path, headers, body)
+        self._counts_by_stream[stream.name]['calls'] += 1
+        self._waiting += 1
+        intended_at = source.due
+        self._pools[address].request(
+            request,
+            _TIMEOUT,
+            lambda done: self._on_done(stream, nonce, intended_at, done),
+        )
+
+    def _on_done(
+        self,
+        stream: Stream,
+        nonce: str,
+        intended_at: float,
+        done: Result[Response, HttpFailure],
+    ) -> None:
+        self._waiting -= 1
+        counts = self._counts_by_stream[stream.name]
+        if isinstance(done, Err):
+            counts['no_answer'] += 1
+            return
+        response = done.ok_value
+        kind = response.header('bluebellsill-error')
+        if kind:
+            counts[f'refused_{kind}'] += 1
+        elif response.status != HTTPStatus.OK:
+            counts[f'status_{response.status}'] += 1
+        elif not _is_right(response, nonce, stream.size):
+            counts['wrong'] += 1
+        else:
+            counts['answered'] += 1
+            seconds = self._timers.clock.now() - intended_at
+            self._record(stream, seconds, response)
+
+    def _record(
+        self,
+        stream: Stream,
+        seconds: float,
+        response: Response,
+    ) -> None:
+        self._latencies_by_stream[stream.name].record(seconds)
+        by_tenant = self._latencies_by_tenant
+        by_tenant.setdefault(stream.tenant, Latencies()).record(seconds)
+        service_us = response.header('x-service-us')
+        if service_us:
+            overhead = seconds - int(service_us) / 1e6
+            self._overheads_by_stream[stream.name].record(overhead)
+
+    def _new_key(self) -> UUID:
+        """Return a version 7 UUID, which tells when it was made."""
+        milliseconds = int(time() * 1000)
+        return UUID(
+            int=milliseconds << 80
+            | _UUID7_VERSION
+            | self._random.getrandbits(12) << 64
+            | _UUID_VARIANT
+            | self._random.getrandbits(62),
+        )
+
+
+def _addresses(plan: LoadPlan) -> set[str]:
+    addresses = set(plan.entries)
+    for stream in plan.streams:
+        addresses.update(stream.direct)
+    return addresses
+
+
+def _is_right(response: Response, nonce: str, size: int) -> bool:
+    expected = len(nonce) + 1 + size
+    return (
+        len(response.body) == expected
+        and response.body.startswith(f'{nonce}\n'.encode())
+        and response.header('x-nonce') == nonce
+    )
--- /dev/null
+++ b/bluebellsill/membership.py
@@ -0,0 +1,207 @@
+"""The table of members and the order of what is said about them."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from enum import IntEnum, unique
+from typing import TYPE_CHECKING
+from zlib import crc32
+
+from msgspec.structs import replace
+
+from bluebellsill.messages import Member
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+    from random import Random
+
+__all__ = ('MemberState', 'Members')
+
+GONE_RETENTION = 900  # seconds
+BUCKETS = 64
+
+
+@unique
+class MemberState(IntEnum):
+    """The states of a member; of equal versions the higher one wins."""
+
+    JOINING = 0
+    READY = 1
+    LEAVING = 2
+    SUSPECT = 3
+    GONE = 4
+
+
+_LIVE = frozenset((MemberState.JOINING, MemberState.READY, MemberState.LEAVING))
+
+
+class Members:
+    """Every node that this node knows of, itself included."""
+
+    def __init__(self, own: Member) -> None:
+        """Create a table that holds only the node itself."""
+        self.own = own
+        self.by_id: dict[str, Member] = {own.id: own}
+        self._gone_at_by_id: dict[str, float] = {}
+        self._ids_by_service: dict[str, set[str]] = defaultdict(set)
+        self._hashes = [0] * BUCKETS
+        self._listeners: list[Callable[[Member | None, Member], None]] = []
+        self._index(own)
+
+    def subscribe(
+        self,
+        listener: Callable[[Member | None, Member], None],
+    ) -> None:
+        """Call a listener with the old and the new record of each change."""
+        self._listeners.append(listener)
+
+    def restate(
+        self,
+        *,
+        state: MemberState | None = None,
+        service: str | None = None,
+    ) -> Member:
+        """Say something new of the node itself.
+
+        Returns:
+            The new record, which supersedes every older one.
+        """
+        own = replace(
+            self.own,
+            version=self.own.version + 1,
+            state=self.own.state if state is None else int(state),
+            service=self.own.service if service is None else service,
+        )
+        self._store(own)
+        return own
+
+    def merge(self, record: Member, now: float) -> bool:
+        """Take in what somebody says of a member.
+
+        Args:
+            record: The record that was passed on.
+            now: The time of the local clock in seconds.
+
+        Returns:
+            Whether it was news.
+        """
+        if record.id == self.own.id:
+            return self._refute(record)
+        known = self.by_id.get(record.id)
+        if known is None and record.state == MemberState.GONE:
+            return False
+        if known is not None and _order(record) <= _order(known):
+            return False
+        if record.state == MemberState.GONE:
+            self._gone_at_by_id[record.id] = now
+        else:
+            self._gone_at_by_id.pop(record.id, None)
+        self._store(record)
+        return True
+
+    def forget_gone(self, now: float) -> None:
+        """Drop the records of members that went long ago."""
+        for member_id, gone_at in tuple(self._gone_at_by_id.items()):
+            if now - gone_at > GONE_RETENTION:
+                del self._gone_at_by_id[member_id]
+                record = self.by_id.pop(member_id)
+                self._unindex(record)
+
+    def live(self) -> list[Member]:
+        """Return the members that are not suspected and not gone."""
+        return [
+            record for record in self.by_id.values() if record.state in _LIVE
+        ]
+
+    def in_zone(self, zone: str) -> list[Member]:
+        """Return the live members of an availability zone."""
+        return [record for record in self.live() if record.zone == zone]
+
+    def not_gone_in(self, zone: str) -> list[Member]:
+        """Return the members of an availability zone, suspects included."""
+        return [
+            record
+            for record in self.by_id.values()
+            if record.zone == zone and record.state != MemberState.GONE
+        ]
+
+    def of_service(self, service: str) -> list[Member]:
+        """Return every known member of a service in any state but gone."""
+        return [
+            self.by_id[member_id]
+            for member_id in self._ids_by_service.get(service, ())
+        ]
+
+    def random_gone(self, random: Random) -> str | None:
+        """Return a member that went, to look whether it is back."""
+        if not self._gone_at_by_id:
+            return None
+        return random.choice(sorted(self._gone_at_by_id))
+
+    def zones(self) -> list[str]:
+        """Return the availability zones with live members, in order."""
+        return sorted({record.zone for record in self.live()})
+
+    def hashes(self) -> list[int]:
+        """Return a hash of each bucket of records."""
+        return self._hashes.copy()
+
+    def differing(self, hashes: list[int]) -> Iterable[Member]:
+        """Return the records of the buckets whose hashes differ."""
+        buckets = {
+            bucket
+            for bucket, theirs in enumerate(hashes[:BUCKETS])
+            if theirs != self._hashes[bucket]
+        }
+        return (
+            record
+            for record in self.by_id.values()
+            if _bucket(record.id) in buckets
+        )
+
+    def _refute(self, record: Member) -> bool:
+        own = self.own
+        if _order(record) <= _order(own):
+            return False
+        if record.incarnation > own.incarnation or (
+            record.state == MemberState.GONE
+        ):
+            # Others gave up on this life: what they forgot of it stays
+            # forgotten, so the node goes on as a new member.
+            incarnation = max(record.incarnation, own.incarnation) + 1
+            self._store(replace(own, incarnation=incarnation, version=0))
+        else:
+            self._store(replace(own, version=record.version + 1))
+        return True
+
+    def _store(self, record: Member) -> None:
+        known = self.by_id.get(record.id)
+        if known is not None:
+            self._unindex(known)
+        self.by_id[record.id] = record
+        self._index(record)
+        if record.id == self.own.id:
+            self.own = record
+        for listener in self._listeners:
+            listener(known, record)
+
+    def _index(self, record: Member) -> None:
+        self._hashes[_bucket(record.id)] ^= _hash(record)
+        if record.service and record.state != MemberState.GONE:
+            self._ids_by_service[record.service].add(record.id)
+
+    def _unindex(self, record: Member) -> None:
+        self._hashes[_bucket(record.id)] ^= _hash(record)
+        self._ids_by_service[record.service].discard(record.id)
+
+
+def _order(record: Member) -> tuple[int, int, int]:
+    return record.incarnation, record.version, record.state
+
+
+def _bucket(member_id: str) -> int:
+    return crc32(member_id.encode()) % BUCKETS
+
+
+def _hash(record: Member) -> int:
+    return crc32(repr(_order(record)).encode(), crc32(record.id.encode()))
--- /dev/null
+++ b/bluebellsill/metrics.py
@@ -0,0 +1,78 @@
+"""Latency histograms for each service and tenant."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+
+__all__ = ('Latencies', 'Metrics', 'summarize')
+
+_MIN_LATENCY = 1  # microseconds
+_MAX_LATENCY = 120_000_000  # microseconds
+_SIGNIFICANT_DIGITS = 2
+_MAX_TENANTS = 64
+_OTHER = 'other'
+_PERCENTILES = {'p50_ms': 50, 'p99_ms': 99, 'p999_ms': 99.9}
+
+
+class Latencies:
+    """One histogram of latencies."""
+
+    __slots__ = ('_histogram',)
+
+    def __init__(self) -> None:
+        """Create an empty histogram."""
+        self._histogram = HdrHistogram(
+            _MIN_LATENCY,
+            _MAX_LATENCY,
+            _SIGNIFICANT_DIGITS,
+        )
+
+    def record(self, seconds: float) -> None:
+        """Count one latency."""
+        microseconds = max(_MIN_LATENCY, int(seconds * 1e6))
+        self._histogram.record_value(min(microseconds, _MAX_LATENCY))
+
+    def summary(self) -> dict[str, float]:
+        """Return the count and percentiles in milliseconds."""
+        summary: dict[str, float] = {
+            name: self._histogram.get_value_at_percentile(percentile) / 1e3
+            for name, percentile in _PERCENTILES.items()
+        }
+        summary['max_ms'] = self._histogram.get_max_value() / 1e3
+        summary['count'] = self._histogram.get_total_count()
+        return summary
+
+
+class Metrics:
+    """What one node has served and what it spent on measuring."""
+
+    def __init__(self) -> None:
+        """Create empty metrics."""
+        self.counts: Counter[str] = Counter()
+        self._by_service: dict[str, Latencies] = {}
+        self._by_tenant: dict[str, Latencies] = {}
+
+    def record(self, service: str, tenant: str, seconds: float) -> None:
+        """Count the latency of one answered call."""
+        self._by_service.setdefault(service, Latencies()).record(seconds)
+        if tenant not in self._by_tenant and (
+            len(self._by_tenant) >= _MAX_TENANTS
+        ):
+            tenant = _OTHER
+        self._by_tenant.setdefault(tenant, Latencies()).record(seconds)
+
+    def document(self) -> dict[str, Any]:
+        """Return everything as JSON types."""
+        return {
+            'counts': dict(self.counts),
+            'by_service': summarize(self._by_service),
+            'by_tenant': summarize(self._by_tenant),
+        }
+
+
+def summarize(by_name: dict[str, Latencies]) -> dict[str, dict[str, float]]:
+    """Return the summary of each histogram."""
+    return {name: one.summary() for name, one in by_name.items()}
--- /dev/null
+++ b/bluebellsill/node.py
@@ -0,0 +1,445 @@
+"""One node: the process beside a target, put together."""
+
+from __future__ import annotations
+
+import sys
+from random import Random
+from secrets import randbits, token_hex
+from time import time
+from typing import TYPE_CHECKING, Any
+
+from circuits import BaseComponent, Event, handler
+from msgspec import json
+
+from bluebellsill._signals import StopSignals
+from bluebellsill.announcements import TargetApi
+from bluebellsill.clock import SystemClock
+from bluebellsill.configuration import Configuration
+from bluebellsill.errors import ErrorKind
+from bluebellsill.freshness import CHECK_PERIOD, Freshness
+from bluebellsill.gateway import Gateway
+from bluebellsill.gossip import Gossip
+from bluebellsill.http import HttpServer, Reply, Request
+from bluebellsill.key_registry import KeyRegistry
+from bluebellsill.logs import get_logger
+from bluebellsill.membership import Members, MemberState
+from bluebellsill.messages import (
+    Ack,
+    Applied,
+    Call,
+    Cancel,
+    Claim,
+    CrashReport,
+    Hello,
+    Member,
+    Message,
+    RevisionRequest,
+    Settle,
+    Sync,
+    ZoneReportRequest,
+)
+from bluebellsill.metrics import Metrics
+from bluebellsill.operators import OperatorApi
+from bluebellsill.peers import PeerConnection, PeerLinks, PeerServer
+from bluebellsill.quarantine import Quarantine
+from bluebellsill.reactor import Reactor
+from bluebellsill.reader import ConfigurationReader
+from bluebellsill.resources import OUTSIDE, Service
+from bluebellsill.revision_spread import RevisionSpread
+from bluebellsill.rollout import Rollout, readers_of
+from bluebellsill.rollout_query import ZoneRollouts
+from bluebellsill.store import HttpStore
+from bluebellsill.streams import Address
+from bluebellsill.swim import PERIOD, Swim
+from bluebellsill.target_runner import TargetRunner
+from bluebellsill.timers import TimerService
+from bluebellsill.writer import ConfigurationWriter
+
+if TYPE_CHECKING:
+    from bluebellsill.settings import Settings
+
+__all__ = ('Node',)
+
+_REPORT_PERIOD = 2.0  # seconds between words to the readers
+_LEAVE_GRACE = 1.0  # seconds in which callers may still arrive
+_DRAIN_PERIOD = 0.05  # seconds
+_PORT_TRIES = 16
+
+
+class Node(BaseComponent):
+    """Owns the sockets and the state of one node."""
+
+    channel = 'node'
+
+    class Stopped(Event):
+        """The graceful shutdown has come to its end."""
+
+        name = 'stopped_gracefully'
+
+    def __init__(self, settings: Settings) -> None:
+        """Bind every socket.
+
+        Raises:
+            OSError: An address cannot be bound.
+        """
+        super().__init__()
+        self._settings = settings
+        self._log = get_logger('node')
+        self._clock = SystemClock()
+        self._timers = TimerService(self._clock)
+        self._reactor = Reactor(self._timers).register(self)
+        seed = settings.node.seed
+        self._random = Random(randbits(64) if seed is None else seed)
+        self._freshness = Freshness(self._clock.now())
+        self._configuration = Configuration()
+        self._metrics = Metrics()
+        self._quarantine = Quarantine()
+        self._rollout = Rollout()
+        self._is_leaving = False
+        self._drain_until: float = 0
+        self._crash_count = 0
+        self._build_peers(settings)
+        self._build_control(settings)
+        self._build_traffic(settings)
+        self._start_timers()
+
+    @property
+    def addresses(self) -> dict[str, str]:
+        """Where the node listens, by name."""
+        return {
+            'peers': self._members.own.id,
+            'callers': str(self._caller_server.address),
+            'target': str(self._target_server.address),
+            'operators': str(self._operator_server.address),
+        }
+
+    def announce_addresses(self) -> None:
+        """Print one JSON line with the addresses to the standard output."""
+        line = json.encode({'listening': self.addresses}).decode()
+        sys.stdout.write(f'{line}\n')
+        sys.stdout.flush()
+
+    # The target runner asks these.
+
+    def refusal(self, service: str) -> ErrorKind | None:
+        """Return why new work is refused at this node, if it is."""
+        own = self._members.own
+        if self._configuration.is_zone_out(own.zone):
+            return ErrorKind.ZONE_OUT
+        if self._configuration.is_target_out(own.id):
+            return ErrorKind.TARGET_OUT
+        if self._is_leaving:
+            return ErrorKind.LEAVING
+        if not self._freshness.is_fresh:
+            return ErrorKind.STALE
+        return None
+
+    def service_of(self, name: str) -> Service | None:
+        """Return a declared service."""
+        return self._configuration.service(name)
+
+    def on_target_changed(self) -> None:
+        """Tell the others whether a target is ready here."""
+        announcement = self._runner.announcement
+        if self._is_leaving:
+            return
+        if announcement is None:
+            # The service stays: this node still holds keys of it.
+            self._members.restate(state=MemberState.JOINING)
+        else:
+            is_leaving = announcement.is_leaving
+            state = MemberState.LEAVING if is_leaving else MemberState.READY
+            self._members.restate(state=state, service=announcement.service)
+        self._gossip.send_all(self._swim.push())
+
+    def on_crash(self, crash_id: str, fingerprints: list[int]) -> None:
+        """Count a crash here and at the other nodes of the service."""
+        now = self._clock.now()
+        self._quarantine.on_crash(crash_id, fingerprints, now)
+        self._log.warning('target crashed', in_flight=len(fingerprints))
+        self._spread_crash(CrashReport(crash_id, fingerprints, []))
+
+    def on_cleared(self, fingerprint: int) -> None:
+        """Clear a fingerprint at the other nodes of the service."""
+        self._spread_crash(CrashReport('', [], [fingerprint]))
+
+    # Construction.
+
+    def _build_peers(self, settings: Settings) -> None:
+        address = Address.parse(settings.listen.peers)
+        self._peer_server, self._gossip = self._bind_peers(address)
+        own = Member(
+            str(self._peer_server.address),
+            int(time() * 1000),
+            0,
+            int(MemberState.JOINING),
+            settings.node.availability_zone,
+            '',
+        )
+        self._members = Members(own)
+        self._swim = Swim(
+            self._members,
+            self._random,
+            lambda: self._configuration.revision,
+        )
+        self._swim.seeds = list(settings.membership.seeds)
+        self._links = PeerLinks(self._reactor, self._hello, self._on_silent)
+
+    def _bind_peers(self, address: Address) -> tuple[PeerServer, Gossip]:
+        """Bind the same port for TCP and UDP."""
+        for _ in range(_PORT_TRIES):
+            server = PeerServer(self._reactor, address)
+            try:
+                gossip = Gossip(self._reactor, server.address, self._on_gossip)
+            except OSError:
+                server.close()
+                if address.port:
+                    raise
+                continue
+            return server, gossip
+        raise OSError(f'no port of {address.host} is free for TCP and UDP')
+
+    def _build_control(self, settings: Settings) -> None:
+        self._store = HttpStore(
+            self._reactor,
+            Address.parse(settings.store.address),
+        )
+        self._writer = ConfigurationWriter(
+            self._store,
+            self._timers,
+            self._configuration,
+        )
+        self._reader = ConfigurationReader(
+            self._writer,
+            self._members,
+            self._swim,
+            self._random,
+        )
+        self._spread = RevisionSpread(self._configuration, self._links)
+        self._rollouts = ZoneRollouts(
+            self._members,
+            self._rollout,
+            self._links,
+        )
+        self._operator_api = OperatorApi(
+            self._configuration,
+            self._writer,
+            self._members,
+            self._rollouts,
+            self._metrics,
+            self._describe,
+            lambda: token_hex(16),
+            settings.operators.token,
+        )
+        self._operator_server = HttpServer(
+            self._reactor,
+            Address.parse(settings.listen.operators),
+            self._operator_api.handle,
+        )
+        self._configuration.subscribe(self._on_applied)
+
+    def _build_traffic(self, settings: Settings) -> None:
+        self._runner = TargetRunner(
+            self._reactor,
+            self,
+            self._quarantine,
+            self._metrics,
+        )
+        self._keys = KeyRegistry(self._members, self._links)
+        self._gateway = Gateway(
+            self._members,
+            self._configuration,
+            self._links,
+            self._runner,
+            self._quarantine,
+            self._metrics,
+            self._keys,
+            self._random,
+        )
+        target_api = TargetApi(
+            self._runner,
+            self._gateway,
+            self._members.own.id,
+        )
+        self._target_server = HttpServer(
+            self._reactor,
+            Address.parse(settings.listen.target),
+            target_api.handle,
+        )
+        self._caller_server = HttpServer(
+            self._reactor,
+            Address.parse(settings.listen.callers),
+            self._on_caller,
+        )
+        server = self._peer_server
+        server.on(Call, self._on_call)
+        server.on(Cancel, _on_cancel)
+        server.on(Claim, self._on_claim)
+        server.on(Settle, lambda _, settle: self._keys.take_settle(settle))
+        server.on(CrashReport, self._on_crash_report)
+        server.on(RevisionRequest, self._spread.on_request)
+        server.on(ZoneReportRequest, self._rollouts.on_request)
+
+    def _start_timers(self) -> None:
+        timers = self._timers
+        # First of all, so that a pause is noticed before anything else.
+        timers.every(CHECK_PERIOD, self._check_freshness)
+        timers.every(PERIOD, self._tick_swim)
+        timers.every(PERIOD / 4, self._check_swim)
+        timers.every(_REPORT_PERIOD, self._report_applied)
+
+    # Lifecycle.
+
+    @handler('started', channel='*')
+    def _on_started(self, *_: object) -> None:
+        StopSignals(self._reactor, self._leave)
+        self._reader.start()
+        self._tick_swim()
+        self._log.info('listening', **self.addresses)
+        self.announce_addresses()
+
+    def _leave(self) -> None:
+        """Begin the graceful shutdown."""
+        self._log.info('leaving')
+        self._is_leaving = True
+        self._reader.stop()
+        self._members.restate(state=MemberState.LEAVING)
+        self._gossip.send_all(self._swim.push())
+        now = self._clock.now()
+        self._drain_until = now + self._settings.node.drain_seconds
+        for server in (self._caller_server, self._target_server):
+            server.is_closing = True
+        self._timers.after(_LEAVE_GRACE, self._stop_accepting)
+
+    def _stop_accepting(self) -> None:
+        self._caller_server.close()
+        self._operator_api.close()
+        self._operator_server.close()
+        self._timers.every(_DRAIN_PERIOD, self._check_drained)
+
+    def _check_drained(self) -> None:
+        in_flight = self._runner.in_flight + self._gateway.in_flight
+        is_late = self._clock.now() >= self._drain_until
+        is_open = self._caller_server.open_connections
+        if (in_flight or is_open) and not is_late:
+            return
+        if is_late:
+            self._log.error('drain timed out', in_flight=in_flight)
+        self._members.restate(state=MemberState.GONE)
+        self._gossip.send_all(self._swim.push())
+        self._log.info('stopped', in_flight=in_flight)
+        self.fire(self.Stopped())
+        self.stop()
+
+    # Peers.
+
+    def _hello(self) -> Hello:
+        own = self._members.own
+        return Hello(own.id, own.incarnation)
+
+    def _on_silent(self, peer: str) -> None:
+        self._gossip.send_all(self._swim.suspect(peer, self._clock.now()))
+
+    def _on_gossip(self, message: Message) -> None:
+        if isinstance(message, Applied):
+            self._rollout.on_applied(message)
+            return
+        if isinstance(message, Ack | Sync):
+            self._freshness.confirm()
+        self._gossip.send_all(self._swim.handle(message, self._clock.now()))
+        sender = getattr(message, 'sender', None)
+        revision = getattr(message, 'revision', 0)
+        if sender is not None:
+            self._spread.on_heard(sender.id, revision)
+
+    def _on_call(self, connection: PeerConnection, call: Call) -> None:
+        cancels = connection.on_cancel_by_id
+
+        def respond(reply: Message) -> None:
+            cancels.pop(call.id, None)
+            connection.send(reply)
+
+        run = self._runner.run(call, respond)
+        if run is not None and call.is_idempotent:
+            cancels[call.id] = lambda: self._runner.cancel(run)
+
+    def _on_claim(self, connection: PeerConnection, claim: Claim) -> None:
+        connection.send(self._keys.grant(claim))
+
+    def _on_crash_report(
+        self,
+        connection: PeerConnection,
+        report: CrashReport,
+    ) -> None:
+        now = self._clock.now()
+        if report.suspects:
+            self._quarantine.on_crash(report.crash_id, report.suspects, now)
+        for fingerprint in report.cleared:
+            self._quarantine.on_answer(fingerprint)
+
+    def _spread_crash(self, report: CrashReport) -> None:
+        own = self._members.own
+        for member in self._members.of_service(own.service):
+            if member.id != own.id:
+                self._links.send(member.id, report)
+
+    # Control.
+
+    def _check_freshness(self) -> None:
+        if self._freshness.check(self._clock.now()):
+            self._log.warning('paused; waiting for a peer')
+            self._gossip.send_all(self._swim.push())
+
+    def _tick_swim(self) -> None:
+        self._gossip.send_all(self._swim.tick(self._clock.now()))
+
+    def _check_swim(self) -> None:
+        self._gossip.send_all(self._swim.check(self._clock.now()))
+
+    def _on_applied(self) -> None:
+        revision = self._configuration.revision
+        self._log.info('revision in force', revision=revision)
+        self._report_applied()
+        self._gossip.send_all(self._swim.push())
+
+    def _report_applied(self) -> None:
+        """Tell the readers of the own zone what is in force here."""
+        own = self._members.own
+        applied = Applied(
+            own.id,
+            own.incarnation,
+            self._configuration.revision,
+            self._runner.in_flight,
+        )
+        ids = [member.id for member in self._members.in_zone(own.zone)]
+        for reader in readers_of(own.zone, ids):
+            if reader == own.id:
+                self._rollout.on_applied(applied)
+            else:
+                self._gossip.send(reader, applied)
+
+    def _describe(self) -> dict[str, Any]:
+        own = self._members.own
+        return {
+            'id': own.id,
+            'availability_zone': own.zone,
+            'state': MemberState(own.state).name.lower(),
+            'revision': self._configuration.revision,
+            'is_reader': self._reader.is_reader,
+            'is_fresh': self._freshness.is_fresh,
+            'members': len(self._members.live()),
+            'links': len(self._links),
+            'keys': len(self._keys.holder),
+            'gossip_bytes_sent': self._gossip.bytes_sent,
+            'gossip_bytes_received': self._gossip.bytes_received,
+            'target': self._runner.document(),
+        }
+
+    def _on_caller(self, request: Request, reply: Reply) -> None:
+        self._gateway.handle(request, reply, OUTSIDE)
+
+
+def _on_cancel(connection: PeerConnection, cancel: Cancel) -> None:
+    on_cancel = connection.on_cancel_by_id.pop(cancel.id, None)
+    if on_cancel is not None:
+        on_cancel()
--- /dev/null
+++ b/bluebellsill/peers.py
@@ -0,0 +1,296 @@
+"""Connections between nodes: framed messages, many calls on one."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from itertools import count
+from struct import Struct
+from typing import TYPE_CHECKING, Any
+
+from bluebellsill.messages import (
+    Heartbeat,
+    HeartbeatReply,
+    Hello,
+    Message,
+    MessageError,
+    decode,
+    encode,
+)
+from bluebellsill.streams import Address, Listener, Stream
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from bluebellsill.reactor import Reactor
+
+__all__ = ('LinkLost', 'PeerConnection', 'PeerLinks', 'PeerServer')
+
+MAX_FRAME = 16777216  # bytes
+CHECK_PERIOD = 0.1  # seconds
+_QUIET = 0.2  # seconds without a word until a heartbeat is sent
+_HEARTBEAT_WAIT = 0.5  # seconds until a silent connection is given up
+_IDLE_LIFETIME = 60  # seconds
+_LENGTH = Struct('>I')
+
+
+@dataclass(frozen=True, slots=True)
+class LinkLost:
+    """The connection ended before a request was answered.
+
+    Attributes:
+        reason: What happened, for a person.
+        is_sent: Whether the peer may have received the request.
+    """
+
+    reason: str
+    is_sent: bool
+
+
+class PeerConnection:
+    """Frames and decodes messages on one stream."""
+
+    def __init__(
+        self,
+        on_message: Callable[[PeerConnection, Message], None],
+        on_end: Callable[[PeerConnection, str], None],
+    ) -> None:
+        """Create a connection; set ``stream`` at once."""
+        self.stream: Stream
+        self.member_id = ''
+        self.on_cancel_by_id: dict[int, Callable[[], None]] = {}
+        self._on_message = on_message
+        self._on_end = on_end
+        self._received = bytearray()
+
+    def send(self, message: Message) -> None:
+        """Send one message."""
+        payload = encode(message)
+        self.stream.send(_LENGTH.pack(len(payload)) + payload)
+
+    def on_connected(self) -> None:
+        """Do nothing: what was queued is sent by the stream."""
+
+    def on_bytes(self, chunk: bytes) -> None:
+        """Handle every whole message that has arrived."""
+        self._received += chunk
+        try:
+            for payload in self._take_frames():
+                self._on_message(self, decode(payload))
+        except MessageError as error:
+            self.stream.lose(str(error))
+
+    def on_lost(self, reason: str) -> None:
+        """Report the end."""
+        self._on_end(self, reason)
+
+    def _take_frames(self) -> list[bytes]:
+        frames: list[bytes] = []
+        start = 0
+        received = self._received
+        while len(received) - start >= _LENGTH.size:
+            (length,) = _LENGTH.unpack_from(received, start)
+            if length > MAX_FRAME:
+                raise MessageError(f'frame of {length} bytes is too long')
+            end = start + _LENGTH.size + length
+            if len(received) < end:
+                break
+            frames.append(bytes(received[start + _LENGTH.size : end]))
+            start = end
+        del received[:start]
+        return frames
+
+
+class PeerServer:
+    """Accepts connections of other nodes and hands on their messages."""
+
+    def __init__(self, reactor: Reactor, address: Address) -> None:
+        """Bind and listen.
+
+        Raises:
+            OSError: The address cannot be bound.
+        """
+        self._handlers_by_type: dict[
+            type,
+            Callable[[PeerConnection, Any], None],
+        ] = {}
+        self._connections: set[PeerConnection] = set()
+        self._listener = Listener(reactor, address, self._on_accepted)
+        self.address = self._listener.address
+
+    def on(
+        self,
+        message_type: type,
+        handle: Callable[[PeerConnection, Any], None],
+    ) -> None:
+        """Hand messages of one type to a handler."""
+        self._handlers_by_type[message_type] = handle
+
+    def close(self) -> None:
+        """Close everything."""
+        self._listener.close()
+        for connection in tuple(self._connections):
+            connection.stream.lose('server closed')
+
+    def _on_accepted(self, stream: Stream) -> None:
+        connection = PeerConnection(self._on_message, self._on_end)
+        connection.stream = stream
+        self._connections.add(connection)
+        stream.start(connection)
+
+    def _on_message(self, connection: PeerConnection, message: Message) -> None:
+        if isinstance(message, Heartbeat):
+            connection.send(HeartbeatReply(message.id))
+            return
+        if isinstance(message, Hello):
+            connection.member_id = message.member_id
+            return
+        handle = self._handlers_by_type.get(type(message))
+        if handle is None:
+            name = type(message).__name__
+            raise MessageError(f'{name} is not expected here')
+        handle(connection, message)
+
+    def _on_end(self, connection: PeerConnection, reason: str) -> None:
+        self._connections.discard(connection)
+        for cancel in tuple(connection.on_cancel_by_id.values()):
+            cancel()
+        connection.on_cancel_by_id.clear()
+
+
+class _Link:
+    """A connection to one peer and the requests that wait on it."""
+
+    def __init__(self, address: Address, links: PeerLinks, now: float) -> None:
+        self.heard_at = now
+        self.used_at = now
+        self.asked_at: float | None = None
+        self.pending: dict[int, Callable[[Message | LinkLost], None]] = {}
+        self.connection = PeerConnection(self._on_message, self._on_end)
+        self._links = links
+        self._address = address
+        self.connection.stream = Stream.connect(
+            links.reactor,
+            address,
+            self.connection,
+        )
+
+    def check(self, now: float) -> None:
+        """Send a heartbeat to a quiet peer, give up on a silent one."""
+        if not self.pending:
+            if now - self.used_at > _IDLE_LIFETIME:
+                self.connection.stream.lose('idle')
+            return
+        if self.asked_at is not None:
+            if now - self.asked_at > _HEARTBEAT_WAIT:
+                self.connection.stream.lose('silent')
+        elif now - max(self.heard_at, self.used_at) > _QUIET:
+            self.asked_at = now
+            self.connection.send(Heartbeat(0))
+
+    def _on_message(self, connection: PeerConnection, message: Message) -> None:
+        self.heard_at = self._links.now()
+        self.asked_at = None
+        if isinstance(message, HeartbeatReply):
+            return
+        on_reply = self.pending.pop(getattr(message, 'id', 0), None)
+        if on_reply is not None:
+            on_reply(message)
+
+    def _on_end(self, connection: PeerConnection, reason: str) -> None:
+        self._links.discard(self._address, self)
+        lost = LinkLost(reason, is_sent=connection.stream.is_connected)
+        pending = tuple(self.pending.values())
+        self.pending.clear()
+        for on_reply in pending:
+            on_reply(lost)
+
+
+class PeerLinks:
+    """One connection to each peer that this node talks to."""
+
+    def __init__(
+        self,
+        reactor: Reactor,
+        hello: Callable[[], Hello],
+        on_silent: Callable[[str], None],
+    ) -> None:
+        """Create links that are opened when first used.
+
+        Args:
+            reactor: Waits for the sockets.
+            hello: Returns how this node introduces itself.
+            on_silent: Told the id of a peer whose connection was lost.
+        """
+        self.reactor = reactor
+        self._hello = hello
+        self._on_silent = on_silent
+        self._ids = count(1)
+        self._links_by_address: dict[Address, _Link] = {}
+        reactor.timers.every(CHECK_PERIOD, self._check)
+
+    def __len__(self) -> int:
+        """Return the number of open links."""
+        return len(self._links_by_address)
+
+    def now(self) -> float:
+        """Return the time in seconds."""
+        return self.reactor.timers.clock.now()
+
+    def next_id(self) -> int:
+        """Return an id for a request."""
+        return next(self._ids)
+
+    def request(
+        self,
+        peer: str,
+        message: Any,
+        on_reply: Callable[[Any], None],
+    ) -> None:
+        """Send a message whose ``id`` is from ``next_id``.
+
+        Args:
+            peer: The peer's address.
+            message: The request.
+            on_reply: Called once with the reply or ``LinkLost``.
+        """
+        link = self._link(peer)
+        link.pending[message.id] = on_reply
+        link.connection.send(message)
+
+    def send(self, peer: str, message: Message) -> None:
+        """Send a message that has no reply."""
+        self._link(peer).connection.send(message)
+
+    def forget(self, peer: str, request_id: int) -> None:
+        """Wait no longer for the reply to a request."""
+        link = self._links_by_address.get(Address.parse(peer))
+        if link is not None:
+            link.pending.pop(request_id, None)
+
+    def discard(self, address: Address, link: _Link) -> None:
+        """Forget a link that has ended."""
+        if self._links_by_address.get(address) is link:
+            del self._links_by_address[address]
+        if link.pending:
+            self._on_silent(str(address))
+
+    def close(self) -> None:
+        """Close every link."""
+        for link in tuple(self._links_by_address.values()):
+            link.connection.stream.lose('closed')
+
+    def _link(self, peer: str) -> _Link:
+        address = Address.parse(peer)
+        now = self.now()
+        link = self._links_by_address.get(address)
+        if link is None or link.connection.stream.is_closed:
+            link = _Link(address, self, now)
+            self._links_by_address[address] = link
+            link.connection.send(self._hello())
+        link.used_at = now
+        return link
+
+    def _check(self) -> None:
+        now = self.now()
+        for link in tuple(self._links_by_address.values()):
+            link.check(now)
--- /dev/null
+++ b/bluebellsill/ramp.py
@@ -0,0 +1,83 @@
+"""The number of requests that one target bears at a time."""
+
+from __future__ import annotations
+
+__all__ = ('Ramp',)
+
+_COLD_LIMIT = 1
+_ANSWERS_FOR_STEP = 8  # at each step of the limit
+_FAST_WEIGHT = 0.3
+_BASELINE_RISE = 0.01
+_BASELINE_FALL = 0.2
+_SLOW_FACTOR = 3
+_LATENCY_FLOOR = 0.002  # seconds; below it, jitter hides the trend
+
+
+class Ramp:
+    """Lets a target's limit climb by evidence and fall at once.
+
+    A target starts cold, at one request at a time. Each step up takes
+    whole answers at the present limit, at about the usual latency. A
+    shed answer or a jump in latency halves the limit; a crash or a
+    restart makes the target cold again.
+    """
+
+    def __init__(self, slots: int) -> None:
+        """Start cold.
+
+        Args:
+            slots: What the target bears when warm.
+        """
+        self.slots = slots
+        self.limit = _COLD_LIMIT
+        self._answers = 0
+        self._fast = 0.0
+        self._baseline = 0.0
+
+    def resize(self, slots: int) -> None:
+        """Set what the target bears when warm."""
+        self.slots = slots
+        self.limit = min(self.limit, slots)
+
+    def on_cold(self) -> None:
+        """Start cold again: the target is new, has restarted or crashed."""
+        self.limit = _COLD_LIMIT
+        self._answers = 0
+        self._fast = 0
+        self._baseline = 0
+
+    def on_shed(self) -> None:
+        """Halve the limit: the target said that it bears no more."""
+        self.limit = max(_COLD_LIMIT, self.limit // 2)
+        self._answers = 0
+
+    def on_answer(self, latency: float, in_flight: int) -> None:
+        """Take a whole answer as evidence.
+
+        Args:
+            latency: Seconds from the dispatch to the whole answer.
+            in_flight: Requests that ran at the time, this one included.
+        """
+        self._observe(max(latency, _LATENCY_FLOOR))
+        if self._fast > _SLOW_FACTOR * self._baseline:
+            self.on_shed()
+            # Halve once for one jump, then judge by the new level.
+            self._fast = self._baseline
+            return
+        # An idle target proves nothing about a higher limit.
+        if in_flight < self.limit:
+            return
+        self._answers += 1
+        if self._answers >= _ANSWERS_FOR_STEP * self.limit:
+            self._answers = 0
+            self.limit = min(self.slots, self.limit + 1)
+
+    def _observe(self, latency: float) -> None:
+        if not self._baseline:
+            self._fast = latency
+            self._baseline = latency
+            return
+        self._fast += _FAST_WEIGHT * (latency - self._fast)
+        is_faster = latency < self._baseline
+        share = _BASELINE_FALL if is_faster else _BASELINE_RISE
+        self._baseline += share * (latency - self._baseline)
--- /dev/null
+++ b/bluebellsill/rendezvous.py
@@ -0,0 +1,40 @@
+"""Rendezvous hashing: an order of members that differs for each key.
+
+Thaler and Ravishankar, "Using name-based mappings to increase hit rates",
+1998. When a member comes or goes, only the keys that rank it high move.
+"""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+from heapq import nlargest
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+__all__ = ('rank', 'weight')
+
+_DIGEST_SIZE = 8  # bytes
+
+
+def weight(key: str, member_id: str) -> int:
+    """Return the pseudo-random weight of a member for a key."""
+    text = f'{key}\0{member_id}'.encode()
+    digest = blake2b(text, digest_size=_DIGEST_SIZE).digest()
+    return int.from_bytes(digest, 'big')
+
+
+def rank(key: str, member_ids: Iterable[str], count: int) -> list[str]:
+    """Return the members with the highest weights, highest first.
+
+    Args:
+        key: What the members are ranked for.
+        member_ids: The candidates, in any order.
+        count: How many to return.
+    """
+    return nlargest(
+        count,
+        member_ids,
+        key=lambda member_id: (weight(key, member_id), member_id),
+    )
--- /dev/null
+++ b/bluebellsill/resources.py
@@ -0,0 +1,149 @@
+"""The resources that operators declare."""
+
+from __future__ import annotations
+
+from enum import Enum, unique
+from typing import TYPE_CHECKING, Annotated, Any
+
+from msgspec import Meta, Struct, ValidationError, convert, to_builtins
+from result import Err, Ok, Result
+
+from bluebellsill._validation import Fault, validate
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+__all__ = (
+    'OUTSIDE',
+    'AvailabilityZone',
+    'Kind',
+    'Priority',
+    'Service',
+    'Shift',
+    'Target',
+    'parse_spec',
+)
+
+OUTSIDE = 'outside'
+
+Name = Annotated[str, Meta(pattern='^[a-z0-9][a-z0-9-]{0,62}$')]
+
+
+@unique
+class Kind(str, Enum):
+    """The kinds of resources, as they stand in the API's paths."""
+
+    SERVICE = 'services'
+    AVAILABILITY_ZONE = 'availability-zones'
+    TARGET = 'targets'
+    SHIFT = 'shifts'
+
+
+@unique
+class Priority(str, Enum):
+    """Which requests are shed first under overload."""
+
+    BROWSE = 'browse'
+    NORMAL = 'normal'
+    CRITICAL = 'critical'
+
+    @property
+    def rank(self) -> int:
+        """Return a number that is higher for what is shed later."""
+        return list(Priority).index(self)
+
+
+class Service(Struct, frozen=True, omit_defaults=False):
+    """A service: who may call it and what its targets bear.
+
+    Attributes:
+        priority: Which requests are shed first.
+        callers: ``outside`` and the names of services that may call it.
+        slots: Requests that one warm target runs at a time.
+        deadline_ms: Milliseconds that a caller waits, unless it says less.
+        health_path: The path that probes ask for.
+        probe_cost_ms: Milliseconds that one probe costs a target.
+        probe_budget_ms: Milliseconds a second that probes may cost a target.
+    """
+
+    priority: Priority = Priority.NORMAL
+    callers: tuple[Name, ...] = (OUTSIDE,)
+    slots: Annotated[int, Meta(ge=1, le=1024)] = 6
+    deadline_ms: Annotated[int, Meta(ge=10, le=120000)] = 2000
+    health_path: Annotated[str, Meta(pattern='^/[!-~]*$')] = '/health'
+    probe_cost_ms: Annotated[float, Meta(gt=0, le=1000)] = 6
+    probe_budget_ms: Annotated[float, Meta(gt=0, le=1000)] = 6
+
+
+class AvailabilityZone(Struct, frozen=True):
+    """An availability zone, in or out of service."""
+
+    in_service: bool = True
+
+
+class Target(Struct, frozen=True):
+    """What operators say of one target; targets announce themselves."""
+
+    in_service: bool = True
+
+
+class Shift(Struct, frozen=True):
+    """Whether a shift is running, so that services must not change."""
+
+    running: bool = False
+
+
+Spec = Service | AvailabilityZone | Target | Shift
+
+_TYPES_BY_KIND: dict[Kind, type[Struct]] = {
+    Kind.SERVICE: Service,
+    Kind.AVAILABILITY_ZONE: AvailabilityZone,
+    Kind.TARGET: Target,
+    Kind.SHIFT: Shift,
+}
+
+_NAME_PATTERNS_BY_KIND = {
+    Kind.SERVICE: Name,
+    Kind.AVAILABILITY_ZONE: Name,
+    Kind.TARGET: Annotated[str, Meta(pattern=r'^[0-9.]{7,15}:[0-9]{1,5}$')],
+    Kind.SHIFT: Annotated[str, Meta(pattern='^current$')],
+}
+
+
+def parse_spec(
+    kind: Kind,
+    name: str,
+    document: Mapping[str, Any],
+) -> Result[Spec, list[Fault]]:
+    """Validate what an operator declares.
+
+    Args:
+        kind: The kind of resource.
+        name: The resource's name.
+        document: The declared fields.
+
+    Returns:
+        The resource, or every fault.
+    """
+    faults = check_name(kind, name)
+    parsed = validate(_TYPES_BY_KIND[kind], document, 'spec.')
+    if isinstance(parsed, Err):
+        return Err([*faults, *parsed.err_value])
+    if faults:
+        return Err(faults)
+    return Ok(parsed.ok_value)  # type: ignore[arg-type]
+
+
+def check_name(kind: Kind, name: str) -> list[Fault]:
+    """Return the faults of a resource's name."""
+    try:
+        convert(name, _NAME_PATTERNS_BY_KIND[kind])
+    except ValidationError as error:
+        return [Fault('name', repr(name), str(error))]
+    return []
+
+
+def spec_document(spec: Spec) -> dict[str, Any]:
+    """Return the fields of a resource as JSON types."""
+    document: dict[str, Any] = to_builtins(spec)
+    return document
--- /dev/null
+++ b/bluebellsill/rollout.py
@@ -0,0 +1,88 @@
+"""Tells which nodes of an availability zone have a revision in force."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from bluebellsill.messages import Applied, ZoneReport
+from bluebellsill.rendezvous import rank
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from bluebellsill.messages import Member
+
+__all__ = ('Rollout', 'readers_of')
+
+READERS_PER_ZONE = 2
+_MAX_EXAMPLES = 16
+
+
+def readers_of(zone: str, member_ids: Collection[str]) -> list[str]:
+    """Return the nodes that watch the store for an availability zone.
+
+    Two readers at once do no harm, so nothing has to be agreed: each
+    node works it out from the members that it sees.
+    """
+    return rank(f'reader:{zone}', member_ids, READERS_PER_ZONE)
+
+
+class Rollout:
+    """What the nodes of one availability zone told this reader."""
+
+    def __init__(self) -> None:
+        """Create a rollout that has heard of no node."""
+        self._applied_by_id: dict[str, Applied] = {}
+
+    def on_applied(self, applied: Applied) -> None:
+        """Take in a node's word; an older one changes nothing."""
+        known = self._applied_by_id.get(applied.member_id)
+        if known is None or _order(applied) >= _order(known):
+            self._applied_by_id[applied.member_id] = applied
+
+    def report(
+        self,
+        request_id: int,
+        zone: str,
+        revision: int,
+        members: Collection[Member],
+    ) -> ZoneReport:
+        """Compare the members with what was heard of them.
+
+        Args:
+            request_id: The request that this answers.
+            zone: The availability zone.
+            revision: The revision that is asked about.
+            members: The zone's members that are not gone.
+        """
+        ids = {member.id for member in members}
+        for heard in tuple(self._applied_by_id):
+            if heard not in ids:
+                del self._applied_by_id[heard]
+        lagging = [
+            member.id
+            for member in members
+            if not self._has_applied(member, revision)
+        ]
+        examples = sorted(lagging)[:_MAX_EXAMPLES]
+        in_flight = sum(
+            applied.in_flight for applied in self._applied_by_id.values()
+        )
+        return ZoneReport(
+            request_id,
+            zone,
+            len(ids),
+            len(lagging),
+            examples,
+            in_flight,
+        )
+
+    def _has_applied(self, member: Member, revision: int) -> bool:
+        applied = self._applied_by_id.get(member.id)
+        if applied is None or applied.incarnation != member.incarnation:
+            return False
+        return applied.revision >= revision
+
+
+def _order(applied: Applied) -> tuple[int, int]:
+    return applied.incarnation, applied.revision
--- /dev/null
+++ b/bluebellsill/standin_command.py
@@ -0,0 +1,108 @@
+"""The ``bluebellsill-standin`` program, for tests and the demo."""
+
+from __future__ import annotations
+
+import sys
+from typing import TYPE_CHECKING
+
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.helpers import option
+from msgspec import ValidationError, json
+
+from bluebellsill import __version__
+from bluebellsill._signals import StopSignals
+from bluebellsill.standin_store import StandInStore
+from bluebellsill.standin_target import Behaviour, StandInTarget
+from bluebellsill.streams import Address
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from bluebellsill.reactor import Reactor
+
+__all__ = ('main',)
+
+_LOOPBACK = '127.0.0.1:0'
+
+
+class _StoreCommand(Command):
+    name = 'store'
+    description = "Run a stand-in for the platform's key-value store."
+    options = [
+        option(
+            'listen', None, 'Where to listen.', flag=False, default=_LOOPBACK
+        ),
+    ]
+
+    def handle(self) -> int:
+        """Run the store until it is told to stop."""
+        store = StandInStore(Address.parse(self.option('listen')))
+        _announce(store.address)
+        _run(store, store.reactor, store.stop)
+        return 0
+
+
+class _TargetCommand(Command):
+    name = 'target'
+    description = 'Run a stand-in for one target.'
+    options = [
+        option(
+            'listen', None, 'Where to listen.', flag=False, default=_LOOPBACK
+        ),
+        option('node', None, 'The target listener of its node.', flag=False),
+        option('service', None, 'The service it belongs to.', flag=False),
+        option(
+            'seed', None, 'Seeds the service times.', flag=False, default='1'
+        ),
+        option(
+            'behaviour',
+            None,
+            'A JSON object, see the documentation.',
+            flag=False,
+            default='{}',
+        ),
+    ]
+
+    def handle(self) -> int:
+        """Run the target until it is told to stop."""
+        try:
+            behaviour = json.decode(self.option('behaviour'), type=Behaviour)
+        except ValidationError as error:
+            self.line_error(f'--behaviour: {error}')
+            return 2
+        node = self.option('node')
+        target = StandInTarget(
+            Address.parse(self.option('listen')),
+            Address.parse(node) if node else None,
+            self.option('service') or '',
+            behaviour,
+            int(self.option('seed')),
+        )
+        _announce(target.address)
+        on_stop = target.leave if node else target.stop
+        _run(target, target.reactor, on_stop)
+        return 0
+
+
+def _announce(address: Address) -> None:
+    line = json.encode({'listening': str(address)}).decode()
+    sys.stdout.write(f'{line}\n')
+    sys.stdout.flush()
+
+
+def _run(
+    component: StandInStore | StandInTarget,
+    reactor: Reactor,
+    on_stop: Callable[[], None],
+) -> None:
+    reactor.timers.after(0, lambda: StopSignals(reactor, on_stop) and None)
+    component.run()
+
+
+def main() -> None:
+    """Run the program."""
+    application = Application('bluebellsill-standin', __version__)
+    application.add(_StoreCommand())
+    application.add(_TargetCommand())
+    application.run()
--- /dev/null
+++ b/bluebellsill/standin_target.py
@@ -0,0 +1,289 @@
+"""A stand-in for a target: a small web server, for tests and the demo."""
+
+from __future__ import annotations
+
+import os
+from collections import Counter
+from http import HTTPStatus
+from random import Random
+from typing import TYPE_CHECKING, Any
+from urllib.parse import parse_qs
+
+from circuits import BaseComponent
+from msgspec import DecodeError, Struct, ValidationError, json
+from msgspec.structs import replace
+
+from bluebellsill.announcements import ANNOUNCE_PATH
+from bluebellsill.clock import SystemClock
+from bluebellsill.http import (
+    HttpServer,
+    Reply,
+    Request,
+    Response,
+    json_response,
+)
+from bluebellsill.http_client import HttpPool
+from bluebellsill.reactor import Reactor
+from bluebellsill.target_runner import Announcement
+from bluebellsill.timers import TimerService
+
+if TYPE_CHECKING:
+    from bluebellsill.streams import Address
+
+__all__ = ('Behaviour', 'StandInTarget')
+
+_ANNOUNCE_PERIOD = 1.0  # seconds
+_ANNOUNCE_TIMEOUT = 0.9  # seconds
+_LEAVE_PERIOD = 0.1  # seconds
+_PROBE_SECONDS = 0.006
+_COLD_SLOTS = 2
+_ANSWERS_FOR_SLOT = 10  # answers that warm a cold target by one slot
+_COLD_FACTOR = 3.0  # how much slower a cold target is
+_CRASH_EXIT = 70
+_FILLER = b'0123456789abcdef' * 4096
+
+
+class Behaviour(Struct, frozen=True, forbid_unknown_fields=True):
+    """How a target behaves; it can be changed while the target runs.
+
+    Attributes:
+        service_ms: The mean time of one request in milliseconds.
+        slots: Requests at a time when warm; more are shed.
+        slow_factor: A noisy neighbour makes every request this much slower.
+        is_failing: Whether requests fail at once with a 500.
+        is_silent: Whether requests are taken in but never answered.
+        cuts_body: Whether answers end before their stated length.
+        health: The status of the health report, true or not.
+        crashes_when_cold: Whether too much work crashes a cold target.
+    """
+
+    service_ms: float = 10
+    slots: int = 6
+    slow_factor: float = 1
+    is_failing: bool = False
+    is_silent: bool = False
+    cuts_body: bool = False
+    health: int = HTTPStatus.OK.value
+    crashes_when_cold: bool = False
+
+
+class StandInTarget(BaseComponent):
+    """Serves one service and announces itself to the node beside it."""
+
+    channel = 'target'
+
+    def __init__(
+        self,
+        address: Address,
+        node: Address | None,
+        service: str,
+        behaviour: Behaviour,
+        seed: int,
+    ) -> None:
+        """Bind the listener and start cold.
+
+        Args:
+            address: Where to listen.
+            node: The target listener of the node beside, or None.
+            service: The service to announce.
+            behaviour: How to behave at first.
+            seed: Seeds the service times.
+
+        Raises:
+            OSError: The address cannot be bound.
+        """
+        super().__init__()
+        self.timers = TimerService(SystemClock())
+        self.reactor = Reactor(self.timers).register(self)
+        self._behaviour = behaviour
+        self._service = service
+        self._random = Random(seed)
+        self._in_flight = 0
+        self._warmth = 0
+        self._is_leaving = False
+        self._counts: Counter[str] = Counter()
+        self._runs_by_key: Counter[str] = Counter()
+        self._last_start: float = 0
+        self._server = HttpServer(self.reactor, address, self._on_request)
+        self._start_id = f'{os.getpid()}-{self.timers.clock.now():.6f}'
+        self._pool = HttpPool(self.reactor, node) if node else None
+        self.timers.after(0, self._announce)
+        self.timers.every(_ANNOUNCE_PERIOD, self._announce)
+
+    @property
+    def address(self) -> Address:
+        """Where the target listens."""
+        return self._server.address
+
+    def leave(self) -> None:
+        """Announce that no new work is wanted; stop once all is answered."""
+        self._is_leaving = True
+        self._announce()
+        self.timers.every(_LEAVE_PERIOD, self._announce)
+
+    def _announce(self) -> None:
+        if self._pool is None:
+            return
+        announcement = Announcement(
+            self._service,
+            str(self.address),
+            self._start_id,
+            self._is_leaving,
+        )
+        request = Request(
+            'PUT',
+            ANNOUNCE_PATH,
+            [('host', str(self._pool.address))],
+            json.encode(announcement),
+        )
+        self._pool.request(request, _ANNOUNCE_TIMEOUT, self._on_announced)
+
+    def _on_announced(self, done: Any) -> None:
+        if not self._is_leaving or self._in_flight:
+            return
+        # A node that does not answer sends no more work either.
+        is_empty = done.is_err() or (
+            json.decode(done.ok_value.body).get('in_flight', 0) == 0
+        )
+        if is_empty:
+            self.stop()
+
+    def _on_request(self, request: Request, reply: Reply) -> None:
+        path, _, query = request.path.partition('?')
+        if path == '/health':
+            self._counts['probes'] += 1
+            status = self._behaviour.health
+            self._later(_PROBE_SECONDS, reply, Response(status))
+        elif path == '/_behaviour':
+            self._change(request, reply)
+        elif path == '/_stats':
+            reply.send(json_response(HTTPStatus.OK, self._stats()))
+        else:
+            self._work(request, path, parse_qs(query), reply)
+
+    def _work(
+        self,
+        request: Request,
+        path: str,
+        options: dict[str, list[str]],
+        reply: Reply,
+    ) -> None:
+        behaviour = self._behaviour
+        self._counts['requests'] += 1
+        self._last_start = self.timers.clock.now()
+        if 'poison' in path:
+            os._exit(_CRASH_EXIT)
+        if behaviour.is_failing:
+            reply.send(Response(HTTPStatus.INTERNAL_SERVER_ERROR.value))
+            return
+        if behaviour.is_silent:
+            return
+        if self._in_flight >= self._slots():
+            self._overload(reply)
+            return
+        key = request.header('x-order')
+        if key:
+            self._runs_by_key[key] += 1
+        self._run(request, options, reply)
+
+    def _run(
+        self,
+        request: Request,
+        options: dict[str, list[str]],
+        reply: Reply,
+    ) -> None:
+        self._in_flight += 1
+        self._counts['max_running'] = max(
+            self._counts['max_running'],
+            self._in_flight,
+        )
+        response = self._response(request, options)
+        started_at = self.timers.clock.now()
+
+        def finish() -> None:
+            seconds = self.timers.clock.now() - started_at
+            response.headers.append(('x-service-us', str(int(seconds * 1e6))))
+            self._in_flight -= 1
+            self._warmth += 1
+            if self._behaviour.cuts_body:
+                reply.cut(response)
+            elif 'chunked' in options:
+                reply.send_chunked(response)
+            else:
+                reply.send(response)
+
+        timer = self.timers.after(self._seconds(options), finish)
+
+        def on_abandoned() -> None:
+            self._counts['cancelled'] += 1
+            self._in_flight -= 1
+            timer.cancel()
+
+        reply.on_abandoned = on_abandoned
+
+    def _slots(self) -> int:
+        """Return how many requests the target bears now."""
+        warmed = _COLD_SLOTS + self._warmth // _ANSWERS_FOR_SLOT
+        return min(self._behaviour.slots, warmed)
+
+    def _overload(self, reply: Reply) -> None:
+        self._counts['shed'] += 1
+        is_cold = self._slots() < self._behaviour.slots
+        if is_cold:
+            self._counts['overloaded_when_cold'] += 1
+            if self._behaviour.crashes_when_cold:
+                os._exit(_CRASH_EXIT)
+        reply.send(Response(HTTPStatus.SERVICE_UNAVAILABLE.value))
+
+    def _seconds(self, options: dict[str, list[str]]) -> float:
+        mean = float(options.get('ms', [str(self._behaviour.service_ms)])[0])
+        spread = self._random.lognormvariate(0, 0.25)
+        is_cold = self._slots() < self._behaviour.slots
+        factor = _COLD_FACTOR if is_cold else 1.0
+        return mean / 1000 * spread * factor * self._behaviour.slow_factor
+
+    def _response(
+        self,
+        request: Request,
+        options: dict[str, list[str]],
+    ) -> Response:
+        size = int(options.get('size', ['0'])[0])
+        nonce = request.header('x-nonce').encode()
+        repeats = size // len(_FILLER) + 1
+        body = nonce + b'\n' + (_FILLER * repeats)[:size]
+        headers = [
+            ('content-type', 'application/octet-stream'),
+            ('x-nonce', request.header('x-nonce')),
+        ]
+        return Response(HTTPStatus.OK.value, headers, body)
+
+    def _later(self, seconds: float, reply: Reply, response: Response) -> None:
+        self.timers.after(seconds, lambda: reply.send(response))
+
+    def _change(self, request: Request, reply: Reply) -> None:
+        try:
+            changes = json.decode(request.body, type=dict[str, Any])
+            is_cold = changes.pop('is_cold', False)
+            document = json.encode(replace(self._behaviour, **changes))
+            self._behaviour = json.decode(document, type=Behaviour)
+        except (DecodeError, ValidationError, TypeError) as error:
+            body = str(error).encode()
+            reply.send(Response(HTTPStatus.BAD_REQUEST.value, [], body))
+            return
+        if is_cold:
+            self._warmth = 0
+        reply.send(json_response(HTTPStatus.OK, self._stats()))
+
+    def _stats(self) -> dict[str, Any]:
+        repeated = {
+            key: runs for key, runs in self._runs_by_key.items() if runs > 1
+        }
+        return {
+            'counts': dict(self._counts),
+            'running': self._in_flight,
+            'slots': self._slots(),
+            'idle_seconds': self.timers.clock.now() - self._last_start,
+            'runs': sum(self._runs_by_key.values()),
+            'keys': sorted(self._runs_by_key),
+            'repeated': repeated,
+        }
--- /dev/null
+++ b/demo/__main__.py
@@ -0,0 +1,223 @@
+"""The demo: a whole deployment, calls, and an availability zone out and back."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
+from time import monotonic
+from typing import Any
+
+from demo.harness import Deployment, Pair, Process, deployment, wait_until
+
+_SECONDS = 24.0
+_OUT_AT = 8.0  # seconds into the load
+_BACK_AT = 15.0
+_RATE = 40.0  # calls a second of each service
+_BASELINE_RATE = 10.0
+_BASELINE_PATH = '/{service}/ping?ms=2'
+_QUIET_SECONDS = 0.5
+
+
+def main() -> int:
+    """Run the demo and print its report."""
+    parser = argparse.ArgumentParser(prog='demo')
+    parser.add_argument('--deployment', type=Path, required=True)
+    options = parser.parse_args()
+    plan = tomllib.loads(options.deployment.read_text(encoding='utf-8'))
+    with deployment() as running:
+        report = _run(running, plan)
+    _print(plan['name'], report)
+    return 0 if not report['wrong'] and not report['exit_codes'] else 1
+
+
+def _run(running: Deployment, plan: dict[str, Any]) -> dict[str, Any]:
+    zones = plan['availability_zones']
+    _start(running, plan)
+    running.wait_ready()
+    running.declare({one['name']: one['spec'] for one in plan['services']})
+    client = running.pairs[0].client()
+    for zone in zones:
+        client.put('availability-zones', zone, {'in_service': True})
+    load = _start_load(running, plan)
+    started_at = monotonic()
+    zone = zones[-1]
+    _sleep_until(started_at + _OUT_AT)
+    out_seconds = _take_out(running, zone)
+    _sleep_until(started_at + _BACK_AT)
+    change = client.put('availability-zones', zone, {'in_service': True})
+    client.wait(change['revision'], 10)
+    output, _ = load.communicate(timeout=60)
+    measured = json.loads(output)
+    elapsed = monotonic() - started_at
+    probes = [
+        pair.target_stats()['counts'].get('probes', 0) for pair in running.pairs
+    ]
+    codes = [code for code in running.stop() if code]
+    return _report(measured, out_seconds, max(probes) * 6 / elapsed, codes)
+
+
+def _start(running: Deployment, plan: dict[str, Any]) -> None:
+    """Start nodes and targets, a zone after another for each service."""
+    zones = plan['availability_zones']
+    for service in plan['services']:
+        for index in range(service['targets']):
+            running.start_node(zones[index % len(zones)], service['name'])
+    for pair in running.pairs:
+        pair.node.read_listening()
+        running.start_target(pair)
+    for pair in running.pairs:
+        _listening(pair.target)
+
+
+def _listening(process: Process | None) -> None:
+    assert process is not None
+    process.read_listening()
+
+
+def _start_load(
+    running: Deployment,
+    plan: dict[str, Any],
+) -> subprocess.Popen[bytes]:
+    entries = [pair.callers for pair in running.pairs]
+    streams: list[dict[str, Any]] = []
+    for service in plan['services']:
+        if service['targets']:
+            streams.extend(_streams(running, service))
+    lines = [
+        f'seconds = {_SECONDS}',
+        f'entries = {json.dumps(entries)}',
+    ]
+    for stream in streams:
+        lines.append('[[streams]]')
+        lines.extend(
+            f'{key} = {json.dumps(one)}' for key, one in stream.items()
+        )
+    path = running.directory / 'load.toml'
+    path.write_text('\n'.join(lines), encoding='utf-8')
+    program = Path(sys.executable).parent / 'bluebellsill-load'
+    return subprocess.Popen(
+        [str(program), 'play', '--json', str(path)],
+        stdout=subprocess.PIPE,
+    )
+
+
+def _streams(
+    running: Deployment,
+    service: dict[str, Any],
+) -> list[dict[str, Any]]:
+    name = service['name']
+    is_critical = service['spec'].get('priority') == 'critical'
+    # The zone that stays in service, so that the baseline never touches the
+    # one whose last new work is measured.
+    zone = running.pairs[0].zone
+    pairs = [pair for pair in running.of_service(name) if pair.zone == zone]
+    targets = [str(pair.target.listening) for pair in pairs if pair.target]
+    baseline = {
+        'path': _BASELINE_PATH.format(service=name),
+        'rate': _BASELINE_RATE,
+    }
+    streams: list[dict[str, Any]] = [
+        {'name': name, 'path': f'/{name}/list', 'rate': _RATE},
+        {'name': f'{name}-system', **baseline},
+        {'name': f'{name}-direct', 'direct': targets, **baseline},
+    ]
+    if is_critical:
+        streams.append(
+            {
+                'name': f'{name}-post',
+                'path': f'/{name}/new',
+                'rate': _RATE / 4,
+                'method': 'POST',
+                'is_keyed': True,
+            }
+        )
+    else:
+        large = 1048576
+        streams.append(
+            {
+                'name': f'{name}-large',
+                'path': f'/{name}/photo?size={large}&chunked=1',
+                'size': large,
+                'rate': 2,
+            }
+        )
+    return streams
+
+
+def _take_out(running: Deployment, zone: str) -> float:
+    """Take a zone out; return the seconds until its last new work."""
+    pairs = running.of_zone(zone)
+    accepted_at = monotonic()
+    running.pairs[0].client().put(
+        'availability-zones',
+        zone,
+        {'in_service': False},
+    )
+    wait_until(lambda: _idle_seconds(pairs) > _QUIET_SECONDS, 10)
+    last_work_at = monotonic() - _idle_seconds(pairs)
+    return max(0, last_work_at - accepted_at)
+
+
+def _idle_seconds(pairs: list[Pair]) -> float:
+    return min(pair.target_stats()['idle_seconds'] for pair in pairs)
+
+
+def _report(
+    measured: dict[str, Any],
+    out_seconds: float,
+    probe_ms: float,
+    codes: list[int],
+) -> dict[str, Any]:
+    counts = measured['counts']
+    streams = measured['streams']
+    system = [one for name, one in streams.items() if name.endswith('-system')]
+    direct = [one for name, one in streams.items() if name.endswith('-direct')]
+    plain = [
+        one['latency']
+        for name, one in streams.items()
+        if not name.endswith(('-system', '-direct', '-large'))
+    ]
+    refused = {
+        name.removeprefix('refused_'): count
+        for name, count in counts.items()
+        if name.startswith('refused_')
+    }
+    added = {
+        f'added_{name}': round(_worst(system, name) - _worst(direct, name), 3)
+        for name in ('p50_ms', 'p99_ms')
+    }
+    return {
+        'calls': counts['calls'],
+        'answered': counts.get('answered', 0),
+        'wrong': counts.get('wrong', 0) + counts.get('no_answer', 0),
+        'refused': refused,
+        'p50_ms': max(one['p50_ms'] for one in plain),
+        'p99_ms': max(one['p99_ms'] for one in plain),
+        **added,
+        'probe_ms_per_target_s': round(probe_ms, 3),
+        'zone_out_seconds': round(out_seconds, 3),
+        'exit_codes': codes,
+    }
+
+
+def _worst(streams: list[dict[str, Any]], name: str) -> float:
+    return max(float(stream['overhead'][name]) for stream in streams)
+
+
+def _sleep_until(moment: float) -> None:
+    wait_until(lambda: monotonic() >= moment, 60)
+
+
+def _print(name: str, report: dict[str, Any]) -> None:
+    sys.stdout.write(f'\n{name}\n')
+    for key, found in report.items():
+        sys.stdout.write(f'  {key:<22} {found}\n')
+    sys.stdout.write(json.dumps(report) + '\n')
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/demo/harness.py
@@ -0,0 +1,298 @@
+"""Starts the processes of a deployment and stops them again."""
+
+from __future__ import annotations
+
+import json
+import os
+import select
+import signal
+import subprocess
+import sys
+import tempfile
+import urllib.request
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from time import monotonic, sleep
+from typing import TYPE_CHECKING, Any
+
+from bluebellsill.operator_client import OperatorClient
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator, Sequence
+
+TOKEN = 'demo-token'
+_START_WAIT = 20.0  # seconds
+_STOP_WAIT = 15.0  # seconds
+_BIN = Path(sys.executable).parent
+
+_SETTINGS = """\
+[node]
+availability_zone = "{zone}"
+drain_seconds = 10
+[listen]
+peers = "127.0.0.1:{port}"
+callers = "127.0.0.1:0"
+target = "127.0.0.1:0"
+operators = "127.0.0.1:0"
+[store]
+address = "{store}"
+[operators]
+token = "{token}"
+[membership]
+seeds = {seeds}
+"""
+
+
+class Process:
+    """A program that prints where it listens."""
+
+    def __init__(self, arguments: Sequence[str], log: Path) -> None:
+        """Start the program and wait for its first line."""
+        self.log = log
+        with log.open('ab') as errors:
+            self._process = subprocess.Popen(
+                [str(_BIN / arguments[0]), *arguments[1:]],
+                stdout=subprocess.PIPE,
+                stderr=errors,
+            )
+        self.listening: Any = None
+
+    @property
+    def pid(self) -> int:
+        """The process id."""
+        return self._process.pid
+
+    def read_listening(self) -> None:
+        """Wait until the program tells where it listens."""
+        assert self._process.stdout is not None
+        ready, _, _ = select.select([self._process.stdout], [], [], _START_WAIT)
+        line = self._process.stdout.readline() if ready else b''
+        if not line:
+            raise RuntimeError(f'no start: {self.log.read_text()[-2000:]}')
+        self.listening = json.loads(line)['listening']
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal."""
+        if self._process.poll() is None:
+            os.kill(self.pid, number)
+
+    def wait(self, seconds: float = _STOP_WAIT) -> int:
+        """Wait for the end and return the exit code."""
+        return self._process.wait(seconds)
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether the program has ended."""
+        return self._process.poll() is not None
+
+    def kill(self) -> None:
+        """Kill the program and wait for its end."""
+        if self._process.poll() is None:
+            self._process.kill()
+        self._process.wait(_STOP_WAIT)
+        if self._process.stdout is not None:
+            self._process.stdout.close()
+
+
+@dataclass(eq=False)
+class Pair:
+    """A node and the target beside it."""
+
+    zone: str
+    service: str
+    node: Process
+    target: Process | None = None
+
+    @property
+    def id(self) -> str:
+        """The node's id."""
+        return str(self.node.listening['peers'])
+
+    @property
+    def callers(self) -> str:
+        """Where the node serves outside callers."""
+        return str(self.node.listening['callers'])
+
+    def client(self) -> OperatorClient:
+        """Return an operator's client of the node."""
+        return OperatorClient(self.node.listening['operators'], TOKEN)
+
+    def target_stats(self) -> dict[str, Any]:
+        """Return what the target counted."""
+        assert self.target is not None
+        return fetch(f'http://{self.target.listening}/_stats')
+
+    def change_target(self, **changes: Any) -> dict[str, Any]:
+        """Change how the target behaves."""
+        assert self.target is not None
+        return fetch(f'http://{self.target.listening}/_behaviour', changes)
+
+
+@dataclass(eq=False)
+class Deployment:
+    """The processes of one deployment."""
+
+    directory: Path
+    store: Process
+    pairs: list[Pair] = field(default_factory=list)
+    started: int = 0
+
+    def add(
+        self,
+        zone: str,
+        service: str,
+        *,
+        behaviour: dict[str, Any] | None = None,
+        seeds: Sequence[str] = (),
+        port: int = 0,
+    ) -> Pair:
+        """Start a node and, if a service is given, a target beside it."""
+        pair = self.start_node(zone, service, seeds=seeds, port=port)
+        pair.node.read_listening()
+        if service:
+            self.start_target(pair, behaviour)
+            assert pair.target is not None
+            pair.target.read_listening()
+        return pair
+
+    def start_node(
+        self,
+        zone: str,
+        service: str,
+        *,
+        seeds: Sequence[str] = (),
+        port: int = 0,
+    ) -> Pair:
+        """Start a node without waiting for it."""
+        self.started += 1
+        settings = self.directory / f'node-{self.started}.toml'
+        settings.write_text(
+            _SETTINGS.format(
+                zone=zone,
+                port=port,
+                store=self.store.listening,
+                token=TOKEN,
+                seeds=json.dumps(list(seeds)),
+            ),
+        )
+        log = self.directory / f'node-{self.started}.log'
+        node = Process(['bluebellsill-node', str(settings)], log)
+        pair = Pair(zone, service, node)
+        self.pairs.append(pair)
+        return pair
+
+    def start_target(
+        self,
+        pair: Pair,
+        behaviour: dict[str, Any] | None = None,
+    ) -> None:
+        """Start a target beside a node that listens already."""
+        self.started += 1
+        arguments = [
+            'bluebellsill-standin',
+            'target',
+            f'--node={pair.node.listening["target"]}',
+            f'--service={pair.service}',
+            f'--seed={self.started}',
+            f'--behaviour={json.dumps(behaviour or {})}',
+        ]
+        log = self.directory / f'target-{self.started}.log'
+        pair.target = Process(arguments, log)
+
+    def of_service(self, service: str) -> list[Pair]:
+        """Return the pairs of a service."""
+        return [pair for pair in self.pairs if pair.service == service]
+
+    def of_zone(self, zone: str) -> list[Pair]:
+        """Return the pairs of an availability zone."""
+        return [pair for pair in self.pairs if pair.zone == zone]
+
+    def set_store(self, mode: str) -> None:
+        """Change how the store behaves."""
+        fetch(f'http://{self.store.listening}/_mode', {'mode': mode})
+
+    def store_stats(self) -> dict[str, Any]:
+        """Return what the store counted."""
+        return fetch(f'http://{self.store.listening}/_stats')
+
+    def declare(self, services: dict[str, dict[str, Any]]) -> int:
+        """Declare services and wait until they are in force."""
+        client = self.pairs[0].client()
+        revision = 0
+        for name, spec in services.items():
+            revision = client.put('services', name, spec)['revision']
+        client.wait(revision, 15)
+        return revision
+
+    def wait_ready(self, seconds: float = 15) -> None:
+        """Wait until every node sees every target ready."""
+        wanted = sum(1 for pair in self.pairs if pair.target)
+        for pair in self.pairs:
+            client = pair.client()
+            wait_until(lambda: _ready(client) >= wanted, seconds)  # noqa: B023
+
+    def stop(self) -> list[int]:
+        """Stop everything gracefully and return the exit codes."""
+        targets = [pair.target for pair in self.pairs if pair.target]
+        nodes = [pair.node for pair in self.pairs]
+        codes: list[int] = []
+        for group in (targets, nodes, [self.store]):
+            for process in group:
+                process.send(signal.SIGTERM)
+            codes.extend(process.wait() for process in group)
+        return codes
+
+    def kill(self) -> None:
+        """Kill whatever still runs."""
+        for pair in self.pairs:
+            pair.node.kill()
+            if pair.target:
+                pair.target.kill()
+        self.store.kill()
+
+
+@contextmanager
+def deployment() -> Iterator[Deployment]:
+    """Run a store; whatever is added is killed at the end."""
+    with tempfile.TemporaryDirectory(prefix='bluebellsill-') as directory:
+        path = Path(directory)
+        store = Process(['bluebellsill-standin', 'store'], path / 'store.log')
+        running = Deployment(path, store)
+        try:
+            store.read_listening()
+            yield running
+        finally:
+            running.kill()
+
+
+def fetch(url: str, document: dict[str, Any] | None = None) -> dict[str, Any]:
+    """Get a JSON document, or put one."""
+    body = json.dumps(document).encode() if document is not None else None
+    method = 'GET' if body is None else 'PUT'
+    request = urllib.request.Request(url, body, method=method)
+    with urllib.request.urlopen(request, timeout=5) as response:
+        found: dict[str, Any] = json.loads(response.read())
+    return found
+
+
+def wait_until(condition: Callable[[], bool], seconds: float) -> float:
+    """Wait until a condition holds.
+
+    Returns:
+        The seconds that it took.
+
+    Raises:
+        TimeoutError: It did not hold in time.
+    """
+    started_at = monotonic()
+    while not condition():
+        if monotonic() - started_at > seconds:
+            raise TimeoutError(f'not within {seconds} s')
+        sleep(0.05)
+    return monotonic() - started_at
+
+
+def _ready(client: OperatorClient) -> int:
+    members = client.get('members')['items']
+    return sum(1 for member in members if member['state'] == 'ready')
