Let a member that was given up come back only in a new life

Cause: a member that was frozen for 12 s woke, first read a suspicion that was older than its end, refuted it with version 1 and so superseded the record that called it gone: others took it for its former self. Ruled out: loss in the simulated network (the trace shows incarnation 1, version 1, READY at every member for good, not a passing state). Change: gone ends a life whatever the version; only a higher incarnation supersedes it.

--- a/bluebellsill/_signals.py
+++ b/bluebellsill/_signals.py
@@ -12,6 +12,9 @@
     from bluebellsill.reactor import Reactor
 
 
+_MAX_SIGNALS = 64
+
+
 class StopSignals:
     """Calls back once, when the process is asked to stop."""
 
@@ -32,7 +35,7 @@
 
     def on_readable(self) -> None:
         """Call back for the first signal."""
-        self._receiver.recv(64)
+        self._receiver.recv(_MAX_SIGNALS)
         on_stop = self._on_stop
         self._on_stop = None
         if on_stop is not None:
@@ -42,5 +45,10 @@
         """Do nothing: nothing is written here."""
 
 
+def take_stop_signals(reactor: Reactor, on_stop: Callable[[], None]) -> None:
+    """Call back in the loop of ``reactor`` once a stop is asked for."""
+    StopSignals(reactor, on_stop)
+
+
 def _ignore(number: int, frame: object) -> None:
     """Leave the work to the wake-up file descriptor."""
--- a/bluebellsill/_validation.py
+++ b/bluebellsill/_validation.py
@@ -46,17 +46,22 @@
     arguments: dict[str, Any] = {}
     for field in fields(struct_type):
         key = f'{prefix}{field.encode_name}'
-        if field.encode_name not in mapping:
-            if field.required:
-                faults.append(Fault(key, 'nothing', 'is required'))
+        is_missing = field.encode_name not in mapping
+        if is_missing and field.required:
+            faults.append(Fault(key, 'nothing', 'is required'))
+        if is_missing:
             continue
         checked = _convert(hints[field.name], mapping[field.encode_name], key)
-        if isinstance(checked, Ok):
-            arguments[field.name] = checked.ok_value
-        else:
-            faults.extend(checked.err_value)
-    if faults:
-        return Err(faults)
+        faults.extend(checked.err() or ())
+        arguments[field.name] = checked.ok()
+    return Err(faults) if faults else _build(struct_type, arguments, prefix)
+
+
+def _build(
+    struct_type: type[StructType],
+    arguments: dict[str, Any],
+    prefix: str,
+) -> Result[StructType, list[Fault]]:
     try:
         return Ok(struct_type(**arguments))
     except ValueError as error:
--- a/bluebellsill/configuration.py
+++ b/bluebellsill/configuration.py
@@ -92,7 +92,8 @@
         Raises:
             ConfigurationError: The record is damaged.
         """
-        return _decode(payload, cls)
+        head: Head = _decode(payload, cls)
+        return head
 
     def encode(self) -> bytes:
         """Return the record's bytes."""
--- a/bluebellsill/ctl_command.py
+++ b/bluebellsill/ctl_command.py
@@ -4,9 +4,9 @@
 
 import os
 import sys
+import tomllib
 from pathlib import Path
-from tomllib import TOMLDecodeError, loads
-from typing import Any
+from typing import Any, NamedTuple
 
 from cleo.application import Application
 from cleo.commands.command import Command
@@ -40,6 +40,14 @@
 _KINDS = ', '.join(kind.value for kind in Kind)
 
 
+class _Declared(NamedTuple):
+    """A resource as a file declares it."""
+
+    kind: Kind
+    name: str
+    spec: dict[str, Any]
+
+
 class _UsageError(Exception):
     """The command line or a file is not valid."""
 
@@ -183,7 +191,8 @@
         if after is None:
             after = client.get(kind.value)['revision']
         for change in client.watch(kind.value, int(after)):
-            sys.stdout.write(json.encode(change).decode() + '\n')
+            line = json.encode(change).decode()
+            sys.stdout.write(f'{line}\n')
             sys.stdout.flush()
         return 0
 
@@ -295,35 +304,42 @@
         raise _UsageError(f'{text!r} is none of {_KINDS}') from None
 
 
-def _read_resources(file: str) -> list[tuple[Kind, str, dict[str, Any]]]:
+def _read_resources(file: str) -> list[_Declared]:
     if not file:
         raise _UsageError('--file is required')
     try:
-        document = loads(Path(file).read_text(encoding='utf-8'))
-    except (OSError, TOMLDecodeError, UnicodeDecodeError) as error:
+        document = tomllib.loads(Path(file).read_text(encoding='utf-8'))
+    except (OSError, tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
         raise _UsageError(f'{file}: {error}') from error
-    resources: list[tuple[Kind, str, dict[str, Any]]] = []
-    faults: list[Fault] = []
-    for kind_name, by_name in document.items():
-        kind = _kind(kind_name)
-        if not isinstance(by_name, dict):
-            raise _UsageError(f'{file}: {kind_name} is not a table')
-        for name, spec in by_name.items():
-            parsed = parse_spec(kind, name, spec)
-            if isinstance(parsed, Err):
-                faults.extend(
-                    Fault(
-                        f'{kind_name}.{name}.{one.key}', one.found, one.reason
-                    )
-                    for one in parsed.err_value
-                )
-            resources.append((kind, name, spec))
+    resources = [
+        _Declared(_kind(kind), name, spec)
+        for kind, by_name in document.items()
+        for name, spec in _table(by_name, kind).items()
+    ]
+    faults = [fault for one in resources for fault in _faults(one)]
     if faults:
-        lines = '\n'.join(f'{file}: {fault}' for fault in faults)
-        raise _UsageError(lines)
+        raise _UsageError('\n'.join(f'{file}: {fault}' for fault in faults))
     return resources
 
 
+def _table(found: object, key: str) -> dict[str, Any]:
+    if not isinstance(found, dict):
+        raise _UsageError(f'{key} = {found!r} is not a table')
+    return found
+
+
+def _faults(declared: _Declared) -> list[Fault]:
+    spec = _table(declared.spec, declared.name)
+    parsed = parse_spec(declared.kind, declared.name, spec)
+    if not isinstance(parsed, Err):
+        return []
+    prefix = f'{declared.kind.value}.{declared.name}'
+    return [
+        Fault(f'{prefix}.{fault.key}', fault.found, fault.reason)
+        for fault in parsed.err_value
+    ]
+
+
 def main() -> None:
     """Run the program."""
     application = Application('bluebellsillctl', __version__)
--- a/bluebellsill/filters.py
+++ b/bluebellsill/filters.py
@@ -32,6 +32,7 @@
 TENANT_HEADER = 'bluebellsill-tenant'
 KEY_HEADER = 'idempotency-key'
 _FINGERPRINT_SIZE = 8  # bytes
+_MAX_TENANT = 64  # characters
 _MAX_KEY_LENGTH = 200  # characters
 _IDEMPOTENT = frozenset(('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE', 'TRACE'))
 
@@ -110,9 +111,9 @@
     def apply(self, inbound: Inbound) -> Result[None, Problem]:
         """Refuse callers that the service does not name."""
         if inbound.caller in inbound.service.callers:
-            inbound.tenant = inbound.request.header(TENANT_HEADER)[:64] or (
-                inbound.caller
-            )
+            inbound.tenant = inbound.request.header(TENANT_HEADER)[
+                :_MAX_TENANT
+            ] or (inbound.caller)
             return Ok(None)
         who = 'outside callers' if inbound.caller == OUTSIDE else inbound.caller
         message = f'{who} may not call {inbound.service_name}'
--- a/bluebellsill/gateway.py
+++ b/bluebellsill/gateway.py
@@ -40,6 +40,7 @@
 __all__ = ('Gateway',)
 
 _CORRELATION_HEADER = 'bluebellsill-correlation'
+_CORRELATION_BITS = 64
 _MAX_CORRELATION_LENGTH = 64  # characters
 
 
@@ -192,7 +193,7 @@
     def _correlation(self, request: Request) -> str:
         given = request.header(_CORRELATION_HEADER)
         if given and len(given) <= _MAX_CORRELATION_LENGTH:
-            return f'{given}/{self._random.getrandbits(64):016x}'
+            return f'{given}/{self._random.getrandbits(_CORRELATION_BITS):016x}'
         self._next_call += 1
         own = self._members.own
         return f'{own.id}/{own.incarnation:x}/{self._next_call:x}'
--- a/bluebellsill/http.py
+++ b/bluebellsill/http.py
@@ -97,7 +97,7 @@
         if self.status != HTTPStatus.NO_CONTENT:
             lines.append(f'content-length: {len(self.body)}')
         head = '\r\n'.join([*lines, '', '']).encode('latin-1')
-        return head if to_head else head + self.body
+        return head if to_head else b''.join((head, self.body))
 
     def encode_chunked(self) -> bytes:
         """Return the bytes of a chunked answer."""
@@ -197,8 +197,9 @@
 
     def send_line(self, document: object) -> None:
         """Send one JSON line of a streamed answer."""
-        line = json.encode(document) + b'\n'
-        self._connection.write(b'%x\r\n%b\r\n' % (len(line), line))
+        line = json.encode(document)
+        size = len(line) + 1
+        self._connection.write(b'%x\r\n%b\n\r\n' % (size, line))
 
     def abandon(self) -> None:
         """Tell whoever works on the answer that nobody waits for it."""
--- a/bluebellsill/idempotency.py
+++ b/bluebellsill/idempotency.py
@@ -39,6 +39,7 @@
 MAX_KEPT_BODY = 16384  # bytes
 _MAX_RECORDS = 20000
 _UUID7 = 7
+_UUID7_TIME_SHIFT = 80
 
 
 @unique
@@ -112,7 +113,7 @@
         return None
     if uuid.version != _UUID7:
         return None
-    return (uuid.int >> 80) / 1000
+    return (uuid.int >> _UUID7_TIME_SHIFT) / 1000
 
 
 def holders_of(key: str, member_ids: Iterable[str]) -> list[str]:
--- a/bluebellsill/key_registry.py
+++ b/bluebellsill/key_registry.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from time import time
 from typing import TYPE_CHECKING
 
 from msgspec.structs import replace
@@ -31,10 +30,22 @@
 class KeyRegistry:
     """Holds this node's records and reaches those of other nodes."""
 
-    def __init__(self, members: Members, links: PeerLinks) -> None:
-        """Create a registry without records."""
+    def __init__(
+        self,
+        members: Members,
+        links: PeerLinks,
+        wall_clock: Callable[[], float],
+    ) -> None:
+        """Create a registry without records.
+
+        Args:
+            members: The nodes that may hold keys.
+            links: The connections to them.
+            wall_clock: Returns seconds since 1970.
+        """
         self.holder = KeyHolder()
-        self._history = HolderHistory(time())
+        self._wall_clock = wall_clock
+        self._history = HolderHistory(wall_clock())
         self._members = members
         self._links = links
         members.subscribe(self._on_member_changed)
@@ -66,7 +77,7 @@
 
     def grant(self, claim: Claim) -> ClaimReply:
         """Answer a claim as one of the holders of its key."""
-        now = time()
+        now = self._wall_clock()
         is_holder = self._history.holders(claim.key) == claim.holders
         if not is_holder or not self._history.has_majority(now):
             return ClaimReply(claim.id, int(ClaimState.NOT_HOLDER))
@@ -101,7 +112,7 @@
         service = self._members.own.service
         if not service:
             return
-        now = time()
+        now = self._wall_clock()
         if (
             known is not None
             and known.service == service
@@ -109,5 +120,6 @@
             and record.state == MemberState.GONE
         ):
             self._history.on_lost(known, now)
-        if service in {record.service, known.service if known else ''}:
+        services = {record.service, known.service if known else ''}
+        if service in services:
             self._history.observe(self._members.of_service(service), now)
--- a/bluebellsill/load.py
+++ b/bluebellsill/load.py
@@ -205,14 +205,13 @@
         kind = response.header('bluebellsill-error')
         if kind:
             counts[f'refused_{kind}'] += 1
-        elif response.status != HTTPStatus.OK:
-            counts[f'status_{response.status}'] += 1
-        elif not _is_right(response, nonce, stream.size):
-            counts['wrong'] += 1
-        else:
-            counts['answered'] += 1
+        elif response.status == HTTPStatus.OK:
+            is_right = _is_right(response, nonce, stream.size)
+            counts['answered' if is_right else 'wrong'] += 1
             seconds = self._timers.clock.now() - intended_at
             self._record(stream, seconds, response)
+        else:
+            counts[f'status_{response.status}'] += 1
 
     def _record(
         self,
--- a/bluebellsill/load_command.py
+++ b/bluebellsill/load_command.py
@@ -47,7 +47,8 @@
     def _print(self, load: Load) -> None:
         report = load.report()
         if self.option('json'):
-            sys.stdout.write(json.encode(report).decode() + '\n')
+            line = json.encode(report).decode()
+            sys.stdout.write(f'{line}\n')
             return
         rows = [
             [
--- a/bluebellsill/membership.py
+++ b/bluebellsill/membership.py
@@ -44,7 +44,7 @@
         self.by_id: dict[str, Member] = {own.id: own}
         self._gone_at_by_id: dict[str, float] = {}
         self._ids_by_service: dict[str, set[str]] = defaultdict(set)
-        self._hashes = [0] * BUCKETS
+        self._hashes = [0 for _ in range(BUCKETS)]
         self._listeners: list[Callable[[Member | None, Member], None]] = []
         self._index(own)
 
@@ -195,8 +195,11 @@
         self._ids_by_service[record.service].discard(record.id)
 
 
-def _order(record: Member) -> tuple[int, int, int]:
-    return record.incarnation, record.version, record.state
+def _order(record: Member) -> tuple[int, bool, int, int]:
+    # Gone is the end of a life: only the next one supersedes it, even if
+    # the member itself has not heard of its end yet.
+    is_gone = record.state == MemberState.GONE
+    return record.incarnation, is_gone, record.version, record.state
 
 
 def _bucket(member_id: str) -> int:
--- a/bluebellsill/messages.py
+++ b/bluebellsill/messages.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from msgspec import DecodeError, Struct, msgpack
+from msgspec import DecodeError, Struct, field, msgpack
 
 __all__ = (
     'Ack',
@@ -45,7 +45,7 @@
     """The base of all messages: a tagged MessagePack array."""
 
 
-class Member(_Message):
+class Member(_Message, frozen=True):
     """One node as the membership knows it.
 
     Attributes:
@@ -68,26 +68,26 @@
 # Calls, over TCP.
 
 
-class Hello(_Message, tag=1):
+class Hello(_Message, frozen=True, tag=1):
     """The first message on a connection: who calls."""
 
     member_id: str
     incarnation: int
 
 
-class Heartbeat(_Message, tag=2):
+class Heartbeat(_Message, frozen=True, tag=2):
     """Asks whether the other side of a connection is still there."""
 
     id: int
 
 
-class HeartbeatReply(_Message, tag=3):
+class HeartbeatReply(_Message, frozen=True, tag=3):
     """Answers a heartbeat."""
 
     id: int
 
 
-class Call(_Message, tag=4):
+class Call(_Message, frozen=True, tag=4):
     """A request for the target beside the receiving node.
 
     Attributes:
@@ -117,7 +117,7 @@
     correlation: str
 
 
-class Answer(_Message, tag=5):
+class Answer(_Message, frozen=True, tag=5):
     """The whole answer of a target, with the load at its node."""
 
     id: int
@@ -128,7 +128,7 @@
     limit: int
 
 
-class Refusal(_Message, tag=6):
+class Refusal(_Message, frozen=True, tag=6):
     """The node did not hand the call to its target."""
 
     id: int
@@ -137,7 +137,7 @@
     limit: int
 
 
-class Failure(_Message, tag=7):
+class Failure(_Message, frozen=True, tag=7):
     """The target got the call, but gave no whole answer."""
 
     id: int
@@ -145,13 +145,13 @@
     has_crashed: bool
 
 
-class Cancel(_Message, tag=8):
+class Cancel(_Message, frozen=True, tag=8):
     """Nobody waits for the answer to a call any more."""
 
     id: int
 
 
-class Claim(_Message, tag=9):
+class Claim(_Message, frozen=True, tag=9):
     """Asks one of a key's holders for the right to run a request once."""
 
     id: int
@@ -162,17 +162,17 @@
     holders: list[str]
 
 
-class ClaimReply(_Message, tag=10):
+class ClaimReply(_Message, frozen=True, tag=10):
     """A key holder's answer: the numeric value of a ``ClaimState``."""
 
     id: int
     state: int
     status: int = 0
-    headers: Pairs = []
+    headers: Pairs = field(default_factory=list)
     body: bytes = b''
 
 
-class Settle(_Message, tag=11):
+class Settle(_Message, frozen=True, tag=11):
     """Tells a key holder how a claimed request ended.
 
     Attributes:
@@ -188,18 +188,18 @@
     owner: str
     outcome: int
     status: int = 0
-    headers: Pairs = []
+    headers: Pairs = field(default_factory=list)
     body: bytes = b''
 
 
-class RevisionRequest(_Message, tag=12):
+class RevisionRequest(_Message, frozen=True, tag=12):
     """Asks a peer for the configuration after a revision."""
 
     id: int
     after: int
 
 
-class Revisions(_Message, tag=13):
+class Revisions(_Message, frozen=True, tag=13):
     """Configuration changes, or a snapshot where the log is too short.
 
     Attributes:
@@ -213,14 +213,14 @@
     changes: list[bytes]
 
 
-class ZoneReportRequest(_Message, tag=14):
+class ZoneReportRequest(_Message, frozen=True, tag=14):
     """Asks a reader which nodes of its zone lag behind a revision."""
 
     id: int
     revision: int
 
 
-class ZoneReport(_Message, tag=15):
+class ZoneReport(_Message, frozen=True, tag=15):
     """How far the nodes of one availability zone have come."""
 
     id: int
@@ -231,7 +231,7 @@
     in_flight: int
 
 
-class CrashReport(_Message, tag=16):
+class CrashReport(_Message, frozen=True, tag=16):
     """Fingerprints in flight at a crash, or cleared by an answer.
 
     Attributes:
@@ -248,7 +248,7 @@
 # Membership, over UDP.
 
 
-class Ping(_Message, tag=32):
+class Ping(_Message, frozen=True, tag=32):
     """Asks a member whether it is alive, and passes news on."""
 
     sequence: int
@@ -257,7 +257,7 @@
     updates: list[Member]
 
 
-class Ack(_Message, tag=33):
+class Ack(_Message, frozen=True, tag=33):
     """Answers a ping; ``subject`` is who was found alive."""
 
     sequence: int
@@ -267,7 +267,7 @@
     updates: list[Member]
 
 
-class PingRequest(_Message, tag=34):
+class PingRequest(_Message, frozen=True, tag=34):
     """Asks a member to ping another one on the sender's behalf."""
 
     sequence: int
@@ -275,7 +275,7 @@
     sender: Member
 
 
-class SyncRequest(_Message, tag=35):
+class SyncRequest(_Message, frozen=True, tag=35):
     """Asks for the members of each bucket whose hash differs."""
 
     sender: Member
@@ -283,7 +283,7 @@
     hashes: list[int]
 
 
-class Sync(_Message, tag=36):
+class Sync(_Message, frozen=True, tag=36):
     """Members of buckets that differed."""
 
     sender: Member
@@ -291,7 +291,7 @@
     members: list[Member]
 
 
-class Applied(_Message, tag=37):
+class Applied(_Message, frozen=True, tag=37):
     """Tells a reader which revision a node has in force."""
 
     member_id: str
--- a/bluebellsill/metrics.py
+++ b/bluebellsill/metrics.py
@@ -14,6 +14,7 @@
 _SIGNIFICANT_DIGITS = 2
 _MAX_TENANTS = 64
 _OTHER = 'other'
+_MICROSECONDS = 1000000
 _PERCENTILES = {'p50_ms': 50, 'p99_ms': 99, 'p999_ms': 99.9}
 
 
@@ -32,7 +33,7 @@
 
     def record(self, seconds: float) -> None:
         """Count one latency."""
-        microseconds = max(_MIN_LATENCY, int(seconds * 1e6))
+        microseconds = max(_MIN_LATENCY, int(seconds * _MICROSECONDS))
         self._histogram.record_value(min(microseconds, _MAX_LATENCY))
 
     def summary(self) -> dict[str, float]:
--- a/bluebellsill/node.py
+++ b/bluebellsill/node.py
@@ -11,7 +11,7 @@
 from circuits import BaseComponent, Event, handler
 from msgspec import json
 
-from bluebellsill._signals import StopSignals
+from bluebellsill._signals import take_stop_signals
 from bluebellsill.announcements import TargetApi
 from bluebellsill.clock import SystemClock
 from bluebellsill.configuration import Configuration
@@ -64,6 +64,8 @@
 _LEAVE_GRACE = 1.0  # seconds in which callers may still arrive
 _DRAIN_PERIOD = 0.05  # seconds
 _PORT_TRIES = 16
+_SEED_BITS = 64
+_TOKEN_BYTES = 16
 
 
 class Node(BaseComponent):
@@ -89,7 +91,7 @@
         self._timers = TimerService(self._clock)
         self._reactor = Reactor(self._timers).register(self)
         seed = settings.node.seed
-        self._random = Random(randbits(64) if seed is None else seed)
+        self._random = Random(randbits(_SEED_BITS) if seed is None else seed)
         self._freshness = Freshness(self._clock.now())
         self._configuration = Configuration()
         self._metrics = Metrics()
@@ -228,7 +230,7 @@
             self._rollouts,
             self._metrics,
             self._describe,
-            lambda: token_hex(16),
+            lambda: token_hex(_TOKEN_BYTES),
             settings.operators.token,
         )
         self._operator_server = HttpServer(
@@ -245,7 +247,7 @@
             self._quarantine,
             self._metrics,
         )
-        self._keys = KeyRegistry(self._members, self._links)
+        self._keys = KeyRegistry(self._members, self._links, time)
         self._gateway = Gateway(
             self._members,
             self._configuration,
@@ -292,7 +294,7 @@
 
     @handler('started', channel='*')
     def _on_started(self, *_: object) -> None:
-        StopSignals(self._reactor, self._leave)
+        take_stop_signals(self._reactor, self._leave)
         self._reader.start()
         self._tick_swim()
         self._log.info('listening', **self.addresses)
--- a/bluebellsill/operator_client.py
+++ b/bluebellsill/operator_client.py
@@ -18,6 +18,7 @@
 __all__ = ('ApiError', 'OperatorClient')
 
 _TIMEOUT = 12.0  # seconds
+_MAX_QUOTED = 200  # bytes
 _WAIT_PERIOD = 0.1  # seconds
 
 
@@ -170,5 +171,5 @@
         document = json.decode(payload, type=dict[str, Any])
         raise ApiError(document['error'], document['message'])
     except (DecodeError, KeyError):
-        message = f'unexpected answer {payload[:200]!r}'
+        message = f'unexpected answer {payload[:_MAX_QUOTED]!r}'
         raise ApiError('internal', message) from None
--- a/bluebellsill/operators.py
+++ b/bluebellsill/operators.py
@@ -32,7 +32,7 @@
 
 __all__ = ('OperatorApi', 'RolloutQuery', 'RolloutStatus')
 
-_PREFIX = 'v1'
+_KINDS_BY_PATH = {kind.value: kind for kind in Kind}
 _BEARER = 'Bearer '
 
 
@@ -149,20 +149,17 @@
             return
         path, _, query = request.path.partition('?')
         parts = [unquote(part) for part in path.strip('/').split('/')]
-        if parts[0] != _PREFIX or len(parts) not in {2, 3}:
-            self._unknown(reply, request.path)
-        elif parts[1] in self._pages and len(parts) == 2:
-            self._pages[parts[1]](request, reply)
-        elif parts[1] == 'writes' and len(parts) == 3:
-            self._find_write(parts[2], reply)
-        elif parts[1] in {kind.value for kind in Kind}:
-            kind = Kind(parts[1])
-            if len(parts) == 2:
-                self._on_collection(kind, request, query, reply)
-            else:
-                self._on_resource(kind, parts[2], request, reply)
-        else:
-            self._unknown(reply, request.path)
+        match parts:
+            case ['v1', page] if page in self._pages:
+                self._pages[page](request, reply)
+            case ['v1', 'writes', token]:
+                self._find_write(token, reply)
+            case ['v1', kind] if kind in _KINDS_BY_PATH:
+                self._on_collection(_KINDS_BY_PATH[kind], request, query, reply)
+            case ['v1', kind, name] if kind in _KINDS_BY_PATH:
+                self._on_resource(_KINDS_BY_PATH[kind], name, request, reply)
+            case _:
+                self._unknown(reply, request.path)
 
     def close(self) -> None:
         """End every open watch."""
--- a/bluebellsill/peers.py
+++ b/bluebellsill/peers.py
@@ -88,7 +88,7 @@
         start = 0
         received = self._received
         while len(received) - start >= _LENGTH.size:
-            (length,) = _LENGTH.unpack_from(received, start)
+            length = int(_LENGTH.unpack_from(received, start)[0])
             if length > MAX_FRAME:
                 raise MessageError(f'frame of {length} bytes is too long')
             end = start + _LENGTH.size + length
--- a/bluebellsill/probing.py
+++ b/bluebellsill/probing.py
@@ -23,7 +23,7 @@
             now: The time in seconds.
         """
         self._rate = budget_ms / cost_ms
-        self._saved = 0.0
+        self._saved: float = 0
         self._at = now
 
     def update(self, cost_ms: float, budget_ms: float) -> None:
--- a/bluebellsill/ramp.py
+++ b/bluebellsill/ramp.py
@@ -31,8 +31,8 @@
         self.slots = slots
         self.limit = _COLD_LIMIT
         self._answers = 0
-        self._fast = 0.0
-        self._baseline = 0.0
+        self._fast: float = 0
+        self._baseline: float = 0
 
     def resize(self, slots: int) -> None:
         """Set what the target bears when warm."""
--- a/bluebellsill/reader.py
+++ b/bluebellsill/reader.py
@@ -28,6 +28,8 @@
 _MAX_BACKOFF = 5.0  # seconds
 _SEEDS_PERIOD = 30.0  # seconds
 _SEEDS_PER_ZONE = 3
+_MIN_CONFLICT_WAIT = 0.05  # seconds
+_MAX_CONFLICT_WAIT = 0.5  # seconds
 _MAX_SEEDS = 96
 
 
@@ -159,7 +161,7 @@
 
     def _on_seeds_written(self, done: Result[int, StoreFailure]) -> None:
         if isinstance(done, Err) and done.err_value.is_conflict:
-            delay = self._random.uniform(0.05, 0.5)
+            delay = self._random.uniform(_MIN_CONFLICT_WAIT, _MAX_CONFLICT_WAIT)
             self._writer.timers.after(delay, self._read_seeds)
 
     def _wanted_seeds(self, seeds: dict[str, str]) -> dict[str, str]:
--- a/bluebellsill/resources.py
+++ b/bluebellsill/resources.py
@@ -5,7 +5,7 @@
 from enum import Enum, unique
 from typing import TYPE_CHECKING, Annotated, Any
 
-from msgspec import Meta, Struct, ValidationError, convert, to_builtins
+from msgspec import Meta, Struct, ValidationError, convert
 from result import Err, Ok, Result
 
 from bluebellsill._validation import Fault, validate
@@ -141,9 +141,3 @@
     except ValidationError as error:
         return [Fault('name', repr(name), str(error))]
     return []
-
-
-def spec_document(spec: Spec) -> dict[str, Any]:
-    """Return the fields of a resource as JSON types."""
-    document: dict[str, Any] = to_builtins(spec)
-    return document
--- a/bluebellsill/revision_spread.py
+++ b/bluebellsill/revision_spread.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 from msgspec import json
 
 from bluebellsill.configuration import (
--- a/bluebellsill/routing.py
+++ b/bluebellsill/routing.py
@@ -27,6 +27,7 @@
 _REPORT_LIFETIME = 0.05  # seconds in which a report loses most of its weight
 _PEAK_LIFETIME = 1.0  # seconds in which a latency peak loses most of its weight
 _FADE_LIFETIME = 2.0  # seconds in which an unconfirmed latency fades
+_KEPT_SHARE = 0.9  # of an old latency at an answer right after it
 _FIRST_LATENCY = 0.01  # seconds
 _FIRST_PENALTY = 0.1  # seconds
 _MAX_PENALTY = 2.0  # seconds
@@ -87,7 +88,7 @@
         else:
             age = max(0, now - self.latency_at)
             kept = exp(-age / _PEAK_LIFETIME)
-            blended = 0.9 * kept
+            blended = _KEPT_SHARE * kept
             self.latency = blended * self.latency + (1 - blended) * seconds
         self.latency_at = now
 
--- a/bluebellsill/settings.py
+++ b/bluebellsill/settings.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+import tomllib
 from pathlib import Path
-from tomllib import TOMLDecodeError, loads
 from typing import Annotated, TypeVar
 
 from msgspec import Meta, Struct
@@ -97,10 +97,10 @@
         The settings, or every fault in the file.
     """
     try:
-        document = loads(path.read_text(encoding='utf-8'))
+        document = tomllib.loads(path.read_text(encoding='utf-8'))
     except OSError as error:
         return Err([Fault('file', str(path), error.strerror or str(error))])
-    except (TOMLDecodeError, UnicodeDecodeError) as error:
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
         return Err([Fault('file', str(path), str(error))])
     found = validate(settings_type, document)
     return found if isinstance(found, Err) else Ok(found.ok_value)
--- a/bluebellsill/standin_command.py
+++ b/bluebellsill/standin_command.py
@@ -11,7 +11,7 @@
 from msgspec import ValidationError, json
 
 from bluebellsill import __version__
-from bluebellsill._signals import StopSignals
+from bluebellsill._signals import take_stop_signals
 from bluebellsill.standin_store import StandInStore
 from bluebellsill.standin_target import Behaviour, StandInTarget
 from bluebellsill.streams import Address
@@ -96,7 +96,8 @@
     reactor: Reactor,
     on_stop: Callable[[], None],
 ) -> None:
-    reactor.timers.after(0, lambda: StopSignals(reactor, on_stop) and None)
+    # Only once circuits has installed its own handlers.
+    reactor.timers.after(0, lambda: take_stop_signals(reactor, on_stop))
     component.run()
 
 
--- a/bluebellsill/standin_store.py
+++ b/bluebellsill/standin_store.py
@@ -74,17 +74,12 @@
         """
         super().__init__()
         self._timers = TimerService(SystemClock())
-        self._reactor = Reactor(self._timers).register(self)
+        self.reactor = Reactor(self._timers).register(self)
         self._records_by_key: dict[str, _Record] = {}
         self._watches: set[_Watch] = set()
         self._calls: Counter[str] = Counter()
         self._mode = StoreMode.UP
-        self._server = HttpServer(self._reactor, address, self._on_request)
-
-    @property
-    def reactor(self) -> Reactor:
-        """The reactor that waits for the store's sockets."""
-        return self._reactor
+        self._server = HttpServer(self.reactor, address, self._on_request)
 
     @property
     def address(self) -> Address:
@@ -122,7 +117,7 @@
             reply.send(Response(HTTPStatus.BAD_REQUEST.value))
         elif request.method == 'PUT':
             self._put(key, int(options['version'][0]), request.body, reply)
-        elif 'after' in options:
+        elif options.get('after'):
             wait_ms = int(options['wait_ms'][0])
             self._watch(key, int(options['after'][0]), wait_ms, reply)
         else:
--- a/bluebellsill/standin_target.py
+++ b/bluebellsill/standin_target.py
@@ -36,11 +36,14 @@
 _ANNOUNCE_TIMEOUT = 0.9  # seconds
 _LEAVE_PERIOD = 0.1  # seconds
 _PROBE_SECONDS = 0.006
+_SIGMA = 0.25  # of the logarithm of service times
 _COLD_SLOTS = 2
 _ANSWERS_FOR_SLOT = 10  # answers that warm a cold target by one slot
 _COLD_FACTOR = 3.0  # how much slower a cold target is
 _CRASH_EXIT = 70
-_FILLER = b'0123456789abcdef' * 4096
+_FILLER_REPEATS = 4096
+_MICROSECONDS = 1000000
+_FILLER = b'0123456789abcdef' * _FILLER_REPEATS
 
 
 class Behaviour(Struct, frozen=True, forbid_unknown_fields=True):
@@ -202,7 +205,9 @@
 
         def finish() -> None:
             seconds = self.timers.clock.now() - started_at
-            response.headers.append(('x-service-us', str(int(seconds * 1e6))))
+            response.headers.append(
+                ('x-service-us', str(int(seconds * _MICROSECONDS)))
+            )
             self._in_flight -= 1
             self._warmth += 1
             if self._behaviour.cuts_body:
@@ -237,7 +242,7 @@
 
     def _seconds(self, options: dict[str, list[str]]) -> float:
         mean = float(options.get('ms', [str(self._behaviour.service_ms)])[0])
-        spread = self._random.lognormvariate(0, 0.25)
+        spread = self._random.lognormvariate(0, _SIGMA)
         is_cold = self._slots() < self._behaviour.slots
         factor = _COLD_FACTOR if is_cold else 1.0
         return mean / 1000 * spread * factor * self._behaviour.slow_factor
@@ -250,7 +255,8 @@
         size = int(options.get('size', ['0'])[0])
         nonce = request.header('x-nonce').encode()
         repeats = size // len(_FILLER) + 1
-        body = nonce + b'\n' + (_FILLER * repeats)[:size]
+        filler = (_FILLER * repeats)[:size]
+        body = b'%b\n%b' % (nonce, filler)
         headers = [
             ('content-type', 'application/octet-stream'),
             ('x-nonce', request.header('x-nonce')),
--- a/bluebellsill/streams.py
+++ b/bluebellsill/streams.py
@@ -24,6 +24,7 @@
 
 _READ_SIZE = 262144  # bytes
 _BACKLOG = 512
+_MAX_PORT = 65535
 
 
 class Address(NamedTuple):
@@ -48,8 +49,8 @@
         host, separator, port = text.rpartition(':')
         if not separator or not host or not port.isdecimal():
             raise ValueError(f'{text!r} is not an address like 10.0.0.7:7000')
-        if int(port) > 65535:
-            raise ValueError(f'port {port} of {text!r} is above 65535')
+        if int(port) > _MAX_PORT:
+            raise ValueError(f'port {port} of {text!r} is above {_MAX_PORT}')
         return cls(host, int(port))
 
     def __str__(self) -> str:
--- a/bluebellsill/swim.py
+++ b/bluebellsill/swim.py
@@ -299,9 +299,9 @@
         ]
         if not addresses:
             return []
-        return [self.sync_request(self._random.choice(addresses))]
+        return [self._sync_request(self._random.choice(addresses))]
 
-    def sync_request(self, address: str) -> Send:
+    def _sync_request(self, address: str) -> Send:
         """Return a request for all that differs at another member."""
         own = self.members.own
         hashes = self.members.hashes()
@@ -330,4 +330,4 @@
         addresses = [gone] if gone else []
         if strangers:
             addresses.append(self._random.choice(strangers))
-        return [self.sync_request(address) for address in addresses]
+        return [self._sync_request(address) for address in addresses]
--- a/bluebellsill/target_runner.py
+++ b/bluebellsill/target_runner.py
@@ -32,6 +32,7 @@
 ANNOUNCEMENT_LIFETIME = 3.0  # seconds
 _CHECK_PERIOD = 0.01  # seconds
 _EXPIRE_PERIOD = 0.1  # seconds
+_MAX_LOSSES = 16
 _LOSS_MEMORY = 3.0  # seconds
 _QUIET_BEFORE_PROBE = 1.0  # seconds without an answer
 _PROBE_TIMEOUT = 1.0  # seconds
@@ -121,7 +122,7 @@
         self._announced_at: float = 0
         self._answered_at: float = 0
         self._runs_by_ticket: dict[Ticket, Run] = {}
-        self._losses: deque[_Loss] = deque(maxlen=16)
+        self._losses: deque[_Loss] = deque(maxlen=_MAX_LOSSES)
         self._is_checking = False
         self._probe_budget: ProbeBudget | None = None
         self._failed_probes = 0
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -216,7 +216,8 @@
     sys.stdout.write(f'\n{name}\n')
     for key, found in report.items():
         sys.stdout.write(f'  {key:<22} {found}\n')
-    sys.stdout.write(json.dumps(report) + '\n')
+    line = json.dumps(report)
+    sys.stdout.write(f'{line}\n')
 
 
 if __name__ == '__main__':
--- a/demo/harness.py
+++ b/demo/harness.py
@@ -208,7 +208,7 @@
         """Return the pairs of an availability zone."""
         return [pair for pair in self.pairs if pair.zone == zone]
 
-    def set_store(self, mode: str) -> None:
+    def switch_store(self, mode: str) -> None:
         """Change how the store behaves."""
         fetch(f'http://{self.store.listening}/_mode', {'mode': mode})
 
@@ -268,7 +268,7 @@
 
 def fetch(url: str, document: dict[str, Any] | None = None) -> dict[str, Any]:
     """Get a JSON document, or put one."""
-    body = json.dumps(document).encode() if document is not None else None
+    body = None if document is None else json.dumps(document).encode()
     method = 'GET' if body is None else 'PUT'
     request = urllib.request.Request(url, body, method=method)
     with urllib.request.urlopen(request, timeout=5) as response:
--- /dev/null
+++ b/tests/cluster.py
@@ -0,0 +1,131 @@
+"""A few members over a simulated network with loss, delay and cuts."""
+
+from __future__ import annotations
+
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+from typing import TYPE_CHECKING
+
+from bluebellsill.membership import Members, MemberState
+from bluebellsill.messages import Member, Message, decode, encode
+from bluebellsill.swim import PERIOD, Send, Swim
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+_STEP = 0.025  # seconds
+
+
+class Cluster:
+    """Drives the detectors of all members with one simulated clock."""
+
+    def __init__(self, size: int, seed: int, *, loss: float = 0) -> None:
+        self.now: float = 0
+        self.random = Random(seed)
+        self.loss = loss
+        self.cut: set[frozenset[str]] = set()
+        self.frozen: set[str] = set()
+        self.dead: set[str] = set()
+        self.sent = 0
+        self.sent_bytes = 0
+        self._sequence = count()
+        self._mail: list[tuple[float, int, str, bytes]] = []
+        self.swims_by_id: dict[str, Swim] = {}
+        for index in range(size):
+            self.start(f'10.0.0.{index + 1}:7000', incarnation=1)
+        self._next_check: dict[str, float] = {}
+        self._next_tick = dict.fromkeys(self.swims_by_id, 0.0)
+
+    def start(self, member_id: str, *, incarnation: int) -> None:
+        """Start a member, in place of a dead one of the same address."""
+        zone = 'abc'[len(self.swims_by_id) % 3]
+        own = Member(
+            member_id,
+            incarnation,
+            0,
+            int(MemberState.READY),
+            zone,
+            'bookings',
+        )
+        swim = Swim(Members(own), Random(self.random.random()), lambda: 0)
+        swim.seeds = ['10.0.0.1:7000', '10.0.0.2:7000']
+        self.swims_by_id[member_id] = swim
+        self.dead.discard(member_id)
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        end = self.now + seconds
+        while self.now < end - _STEP / 2:
+            self.now += _STEP
+            self._deliver()
+            for member_id, swim in self.swims_by_id.items():
+                if member_id in self.dead or member_id in self.frozen:
+                    continue
+                if self.now >= self._next_tick.setdefault(member_id, 0):
+                    self._next_tick[member_id] = self.now + PERIOD
+                    self._post(member_id, swim.tick(self.now))
+                    self._next_check[member_id] = self.now + PERIOD / 4
+                elif self.now >= self._next_check.get(member_id, 0):
+                    self._next_check[member_id] = self.now + PERIOD / 4
+                    self._post(member_id, swim.check(self.now))
+
+    def run_until(self, condition: Callable[[], bool], seconds: float) -> bool:
+        """Let time pass until a condition holds."""
+        end = self.now + seconds
+        while self.now < end and not condition():
+            self.run(_STEP)
+        return condition()
+
+    def part(self, one: Iterable[str], other: Iterable[str]) -> None:
+        """Cut every connection between two groups."""
+        ids = list(other)
+        for left in one:
+            self.cut.update(frozenset((left, right)) for right in ids)
+
+    def states(self, of: str) -> set[tuple[int, int]]:
+        """Return the states and incarnations that the others see of one."""
+        return {
+            (swim.members.by_id[of].state, swim.members.by_id[of].incarnation)
+            for member_id, swim in self.swims_by_id.items()
+            if member_id not in self.dead | self.frozen
+            and member_id != of
+            and of in swim.members.by_id
+        }
+
+    def are_equal(self) -> bool:
+        """Return whether all members that run agree on who lives."""
+        views = {
+            frozenset(
+                (one.id, one.incarnation, one.state)
+                for one in swim.members.live()
+            )
+            for member_id, swim in self.swims_by_id.items()
+            if member_id not in self.dead
+        }
+        return len(views) == 1
+
+    def _post(self, sender: str, sends: list[Send]) -> None:
+        for send in sends:
+            self.sent += 1
+            payload = encode(send.message)
+            self.sent_bytes += len(payload)
+            is_cut = frozenset((sender, send.address)) in self.cut
+            if is_cut or self.random.random() < self.loss:
+                continue
+            due = self.now + self.random.uniform(0, 0.05)
+            item = (due, next(self._sequence), send.address)
+            heappush(self._mail, (*item, payload))
+
+    def _deliver(self) -> None:
+        while self._mail and self._mail[0][0] <= self.now:
+            _, _, address, payload = heappop(self._mail)
+            swim = self.swims_by_id.get(address)
+            if swim is None or address in self.dead:
+                continue
+            if address in self.frozen:
+                later = (self.now + 1, next(self._sequence), address, payload)
+                heappush(self._mail, later)
+                continue
+            message: Message = decode(payload)
+            self._post(address, swim.handle(message, self.now))
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,71 @@
+"""What is said of members converges, whatever the order."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bluebellsill.membership import Members, MemberState
+from bluebellsill.messages import Member
+
+_RECORDS = st.builds(
+    Member,
+    st.sampled_from(['10.0.0.2:1', '10.0.0.3:1']),
+    st.integers(1, 3),
+    st.integers(0, 3),
+    # Those that are only known to be gone are not taken in at all.
+    st.sampled_from([int(one) for one in MemberState if one < 4]),
+    st.just('piraeus'),
+    st.just('bookings'),
+)
+
+
+def _members() -> Members:
+    own = Member('10.0.0.1:1', 5, 0, int(MemberState.READY), 'piraeus', 'x')
+    return Members(own)
+
+
+@given(st.lists(_RECORDS, max_size=12), st.randoms(use_true_random=False))
+def test_order_does_not_matter(records: list[Member], random) -> None:  # noqa: ANN001
+    one, other = _members(), _members()
+    shuffled = records.copy()
+    random.shuffle(shuffled)
+    for record in records:
+        one.merge(record, 0)
+    for record in shuffled + records:
+        other.merge(record, 0)
+    assert one.by_id == other.by_id
+    assert one.hashes() == other.hashes()
+
+
+def test_suspected_member_refutes() -> None:
+    members = _members()
+    suspicion = Member(
+        members.own.id,
+        5,
+        0,
+        int(MemberState.SUSPECT),
+        'piraeus',
+        'x',
+    )
+    assert members.merge(suspicion, 0)
+    assert members.own.state == MemberState.READY
+    assert (members.own.incarnation, members.own.version) == (5, 1)
+
+
+def test_member_given_up_comes_back_as_a_new_one() -> None:
+    members = _members()
+    gone = Member(members.own.id, 5, 3, int(MemberState.GONE), 'piraeus', 'x')
+    members.merge(gone, 0)
+    assert members.own.incarnation == 6
+
+
+def test_gone_members_are_forgotten() -> None:
+    members = _members()
+    record = Member('10.0.0.2:1', 1, 0, int(MemberState.READY), 'a', 'x')
+    gone = Member('10.0.0.2:1', 1, 0, int(MemberState.GONE), 'a', 'x')
+    members.merge(record, 0)
+    members.merge(gone, 10)
+    assert not members.of_service('x') or members.own.service == 'x'
+    members.forget_gone(10000)
+    assert '10.0.0.2:1' not in members.by_id
