Run a keyed request only where its record cannot be elsewhere

Cause: a simulated world of 3 to 5 nodes (crashes, restarts, moving cuts, late views, lost settlements) ran some keys twice. Ruled out: more replicas (the failing pairs had two holders alive each); a store write for each key (11 times the store's write rate at the target). Change: epochs without a majority are blind; the declared number of targets counts towards the majority; a holder that saw a loss vetoes; the claim names the holders' incarnations; changed holders wait 3 s after a loss.

--- a/bluebellsill/idempotency.py
+++ b/bluebellsill/idempotency.py
@@ -2,8 +2,9 @@
 
 Two nodes beside targets of the called service hold the record of a key:
 those that rank highest for it. A request runs only after both have
-granted the claim. Each holder checks that it sees the same pair, and
-that since the key was made every pair of holders had a member in common
+granted the claim. Each holder checks that it sees the same pair and
+more than half of the service's members, and that since the key was made
+it always saw as many, and every pair of holders had a member in common
 with the present one. Where that is not certain, the record may be lost
 and the request is not run.
 """
@@ -11,7 +12,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict, deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import IntEnum, unique
 from typing import TYPE_CHECKING
 from uuid import UUID
@@ -19,11 +20,12 @@
 from bluebellsill.rendezvous import rank
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Mapping
 
-    from bluebellsill.messages import Member, Pairs
+    from bluebellsill.messages import Lives, Member, Pairs
 
 __all__ = (
+    'Certainty',
     'ClaimState',
     'Grant',
     'HolderHistory',
@@ -35,6 +37,7 @@
 
 HOLDERS = 2
 RETENTION = 600  # seconds that a key is remembered
+SETTLE = 3.0  # seconds; covers the spread of a detection over members
 FENCE = 5.0  # seconds; covers clock skew and the detection of failures
 MAX_KEPT_BODY = 16384  # bytes
 _MAX_RECORDS = 20000
@@ -55,6 +58,21 @@
     REUSED = 6
     NOT_HOLDER = 7
     FULL = 8
+    LOST = 9
+
+
+@unique
+class Certainty(IntEnum):
+    """What a holder's history tells of a key that it has not seen.
+
+    A holder that started after the key was made cannot tell, and leaves
+    the word to the other one. A holder that was there and saw a change
+    that may have lost the record vetoes the run.
+    """
+
+    CERTAIN = 0
+    TOO_YOUNG = 1
+    DOUBTFUL = 2
 
 
 @unique
@@ -96,6 +114,7 @@
 
     started_at: float
     lives_by_id: dict[str, int]
+    has_majority: bool
 
 
 def key_time(key: str) -> float | None:
@@ -116,9 +135,9 @@
     return (uuid.int >> _UUID7_TIME_SHIFT) / 1000
 
 
-def holders_of(key: str, member_ids: Iterable[str]) -> list[str]:
-    """Return the nodes that hold the record of a key."""
-    return rank(key, member_ids, HOLDERS)
+def holders_of(key: str, lives_by_id: Mapping[str, int]) -> Lives:
+    """Return the lives of the nodes that hold the record of a key."""
+    return [(one, lives_by_id[one]) for one in rank(key, lives_by_id, HOLDERS)]
 
 
 class HolderHistory:
@@ -129,18 +148,29 @@
         self._known_since = now
         self._epochs: deque[_Epoch] = deque()
         self._lost_at_by_life: dict[tuple[str, int], float] = {}
+        self._lost_at: float = 0
 
-    def observe(self, members: Iterable[Member], now: float) -> None:
+    def observe(
+        self,
+        members: Iterable[Member],
+        now: float,
+        expected: int = 0,
+    ) -> None:
         """Note the present members.
 
         Args:
             members: The members of the service that are not gone.
             now: Seconds since 1970.
+            expected: The number of targets that operators declared.
         """
         lives = {member.id: member.incarnation for member in members}
-        if self._epochs and self._epochs[-1].lives_by_id == lives:
-            return
-        self._epochs.append(_Epoch(now, lives))
+        has_majority = self._is_majority(lives, now, expected)
+        epoch = _Epoch(now, lives, has_majority)
+        if self._epochs:
+            latest = replace(self._epochs[-1], started_at=now)
+            if latest == epoch:
+                return
+        self._epochs.append(epoch)
         while len(self._epochs) > 1:
             if now - self._epochs[1].started_at < RETENTION:
                 break
@@ -149,24 +179,43 @@
     def on_lost(self, member: Member, now: float) -> None:
         """Note that a member went without taking leave."""
         self._lost_at_by_life[member.id, member.incarnation] = now
+        self._lost_at = now
 
-    def has_majority(self, now: float) -> bool:
-        """Return whether this side of a cut is the larger one."""
-        for life, lost_at in tuple(self._lost_at_by_life.items()):
-            if now - lost_at > RETENTION:
-                del self._lost_at_by_life[life]
-        live = self._epochs[-1].lives_by_id if self._epochs else {}
-        # A member that came back in a new life counts as live only.
-        lost = {one for one, _ in self._lost_at_by_life if one not in live}
-        return len(live) > len(lost)
+    def is_settled(self, key: str, now: float) -> bool:
+        """Return whether losses of late left the holders as they were.
 
-    def holders(self, key: str) -> list[str]:
+        Right after a loss the two sides of a cut may each count a member
+        that they have in common, so new holders wait for a while.
+
+        Args:
+            key: The scoped key.
+            now: Seconds since 1970.
+        """
+        present = self.holders(key)
+        for epoch in reversed(self._epochs):
+            if holders_of(key, epoch.lives_by_id) != present:
+                return now - self._lost_at >= SETTLE
+            if epoch.started_at < now - SETTLE:
+                break
+        return True
+
+    @property
+    def has_majority(self) -> bool:
+        """Whether more than half of the service is on this side of a cut."""
+        return bool(self._epochs) and self._epochs[-1].has_majority
+
+    def holders(self, key: str) -> Lives:
         """Return the present holders of a key."""
         if not self._epochs:
             return []
         return holders_of(key, self._epochs[-1].lives_by_id)
 
-    def is_certain(self, key: str, made_at: float | None, now: float) -> bool:
+    def certainty(
+        self,
+        key: str,
+        made_at: float | None,
+        now: float,
+    ) -> Certainty:
         """Return whether the present holders must know an earlier claim.
 
         Args:
@@ -177,21 +226,37 @@
         since = now - RETENTION
         if made_at is not None:
             since = max(since, made_at - FENCE)
-        if since < self._known_since:
-            return False
-        present = self._lives(key, self._epochs[-1])
-        ended_at = now
+        present = set(self.holders(key))
         for epoch in reversed(self._epochs):
-            if not present & self._lives(key, epoch):
-                return False
-            ended_at = epoch.started_at
-            if ended_at <= since:
+            # Without a majority, others may have held keys unseen.
+            is_blind = not epoch.has_majority
+            if is_blind or present.isdisjoint(
+                holders_of(key, epoch.lives_by_id),
+            ):
+                return Certainty.DOUBTFUL
+            if epoch.started_at <= since:
                 break
-        return True
+        is_young = since < self._known_since
+        return Certainty.TOO_YOUNG if is_young else Certainty.CERTAIN
+
+    def _is_majority(
+        self,
+        lives: dict[str, int],
+        now: float,
+        expected: int,
+    ) -> bool:
+        for life, lost_at in tuple(self._lost_at_by_life.items()):
+            if now - lost_at > RETENTION:
+                del self._lost_at_by_life[life]
+        # A member that came back in a new life counts as live only.
+        lost = {one for one, _ in self._lost_at_by_life if one not in lives}
+        return len(lives) > max(len(lost), expected / 2)
+
 
-    def _lives(self, key: str, epoch: _Epoch) -> set[tuple[str, int]]:
-        lives = epoch.lives_by_id
-        return {(one, lives[one]) for one in holders_of(key, lives)}
+_STATES_BY_CERTAINTY = {
+    Certainty.CERTAIN: ClaimState.GRANTED,
+    Certainty.TOO_YOUNG: ClaimState.UNCERTAIN,
+}
 
 
 class KeyHolder:
@@ -213,7 +278,7 @@
         *,
         lifetime: float,
         now: float,
-        is_certain: bool,
+        certainty: Certainty,
     ) -> Grant:
         """Claim the right to run a keyed request.
 
@@ -223,7 +288,7 @@
             fingerprint: The hash of the request.
             lifetime: Seconds until an unsettled claim counts as unknown.
             now: The time of the local clock in seconds.
-            is_certain: Whether an unseen key has certainly not been run.
+            certainty: What is known of the key if it has not been seen.
         """
         self._expire(now)
         record = self._records_by_key.get(key)
@@ -231,10 +296,11 @@
             return _judge(record, owner, fingerprint, now)
         if len(self._records_by_key) >= _MAX_RECORDS:
             return Grant(ClaimState.FULL)
+        if certainty is Certainty.DOUBTFUL:
+            return Grant(ClaimState.LOST)
         record = _Record(owner, fingerprint, now + lifetime)
         self._records_by_key[key] = record
-        state = ClaimState.GRANTED if is_certain else ClaimState.UNCERTAIN
-        return Grant(state)
+        return Grant(_STATES_BY_CERTAINTY[certainty])
 
     def settle(
         self,
--- a/bluebellsill/key_registry.py
+++ b/bluebellsill/key_registry.py
@@ -20,8 +20,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from bluebellsill.configuration import Configuration
     from bluebellsill.membership import Members
-    from bluebellsill.messages import Member
+    from bluebellsill.messages import Lives, Member
     from bluebellsill.peers import LinkLost, PeerLinks
 
 __all__ = ('KeyRegistry',)
@@ -34,6 +35,7 @@
         self,
         members: Members,
         links: PeerLinks,
+        configuration: Configuration,
         wall_clock: Callable[[], float],
     ) -> None:
         """Create a registry without records.
@@ -41,19 +43,25 @@
         Args:
             members: The nodes that may hold keys.
             links: The connections to them.
+            configuration: Tells how many targets a service has.
             wall_clock: Returns seconds since 1970.
         """
         self.holder = KeyHolder()
         self._wall_clock = wall_clock
         self._history = HolderHistory(wall_clock())
+        self._configuration = configuration
         self._members = members
         self._links = links
         members.subscribe(self._on_member_changed)
+        configuration.subscribe(self.observe)
 
-    def holders(self, service: str, scoped_key: str) -> list[str]:
+    def holders(self, service: str, scoped_key: str) -> Lives:
         """Return the holders that this node sees, highest rank first."""
-        ids = [member.id for member in self._members.of_service(service)]
-        return holders_of(scoped_key, ids)
+        lives = {
+            member.id: member.incarnation
+            for member in self._members.of_service(service)
+        }
+        return holders_of(scoped_key, lives)
 
     def claim(
         self,
@@ -78,8 +86,7 @@
     def grant(self, claim: Claim) -> ClaimReply:
         """Answer a claim as one of the holders of its key."""
         now = self._wall_clock()
-        is_holder = self._history.holders(claim.key) == claim.holders
-        if not is_holder or not self._history.has_majority(now):
+        if not self._may_grant(claim, now):
             return ClaimReply(claim.id, int(ClaimState.NOT_HOLDER))
         made_at = key_time(claim.key.rpartition('\0')[2])
         grant = self.holder.claim(
@@ -88,7 +95,7 @@
             claim.fingerprint,
             lifetime=claim.lifetime_ms / 1000,
             now=self._links.now(),
-            is_certain=self._history.is_certain(claim.key, made_at, now),
+            certainty=self._history.certainty(claim.key, made_at, now),
         )
         return ClaimReply(
             claim.id,
@@ -108,6 +115,26 @@
             answer if settle.outcome == Outcome.ANSWERED else None,
         )
 
+    def observe(self) -> None:
+        """Note the present members of the own service."""
+        service = self._members.own.service
+        if not service:
+            return
+        declared = self._configuration.service(service)
+        self._history.observe(
+            self._members.of_service(service),
+            self._wall_clock(),
+            declared.expected_targets if declared else 0,
+        )
+
+    def _may_grant(self, claim: Claim, now: float) -> bool:
+        history = self._history
+        return (
+            history.holders(claim.key) == claim.holders
+            and history.has_majority
+            and history.is_settled(claim.key, now)
+        )
+
     def _on_member_changed(self, known: Member | None, record: Member) -> None:
         service = self._members.own.service
         if not service:
@@ -122,4 +149,4 @@
             self._history.on_lost(known, now)
         services = {record.service, known.service if known else ''}
         if service in services:
-            self._history.observe(self._members.of_service(service), now)
+            self.observe()
--- a/bluebellsill/keyed_call.py
+++ b/bluebellsill/keyed_call.py
@@ -14,6 +14,7 @@
     from collections.abc import Callable
 
     from bluebellsill.filters import Inbound
+    from bluebellsill.messages import Lives
 
 __all__ = ('KeyedCall', 'KeyHolders')
 
@@ -40,6 +41,10 @@
         ErrorKind.KEY_UNAVAILABLE,
         'the nodes disagree on who holds this key; ask again soon',
     ),
+    ClaimState.LOST: Problem(
+        ErrorKind.OUTCOME_UNKNOWN,
+        'the record of this key may be lost; it may have run',
+    ),
     ClaimState.FULL: Problem(
         ErrorKind.KEY_UNAVAILABLE,
         'a holder of this key has no room for more records',
@@ -50,7 +55,7 @@
 class KeyHolders(Protocol):
     """How claims reach the holders of a key."""
 
-    def holders(self, service: str, scoped_key: str) -> list[str]:
+    def holders(self, service: str, scoped_key: str) -> Lives:
         """Return the holders that this node sees, highest rank first."""
 
     def claim(
@@ -96,7 +101,7 @@
         self._lifetime_ms = int(
             (max(0, inbound.deadline - now) + _CLAIM_MARGIN) * 1000,
         )
-        self._holders: list[str] = []
+        self._holders: Lives = []
         self._granted: list[str] = []
         self._is_certain = False
 
@@ -114,7 +119,7 @@
         self._claim_next()
 
     def _claim_next(self) -> None:
-        holder = self._holders[len(self._granted)]
+        holder = self._holders[len(self._granted)][0]
         inbound = self._inbound
         claim = Claim(
             0,
--- a/bluebellsill/messages.py
+++ b/bluebellsill/messages.py
@@ -35,6 +35,7 @@
 )
 
 Pairs = list[tuple[str, str]]
+Lives = list[tuple[str, int]]  # members' ids and incarnations
 
 
 class MessageError(Exception):
@@ -159,7 +160,7 @@
     fingerprint: int
     owner: str
     lifetime_ms: int
-    holders: list[str]
+    holders: Lives
 
 
 class ClaimReply(_Message, frozen=True, tag=10):
--- a/bluebellsill/node.py
+++ b/bluebellsill/node.py
@@ -247,7 +247,12 @@
             self._quarantine,
             self._metrics,
         )
-        self._keys = KeyRegistry(self._members, self._links, time)
+        self._keys = KeyRegistry(
+            self._members,
+            self._links,
+            self._configuration,
+            time,
+        )
         self._gateway = Gateway(
             self._members,
             self._configuration,
@@ -289,6 +294,7 @@
         timers.every(PERIOD, self._tick_swim)
         timers.every(PERIOD / 4, self._check_swim)
         timers.every(_REPORT_PERIOD, self._report_applied)
+        timers.every(_REPORT_PERIOD, self._keys.observe)
 
     # Lifecycle.
 
--- a/bluebellsill/resources.py
+++ b/bluebellsill/resources.py
@@ -59,6 +59,9 @@
     Attributes:
         priority: Which requests are shed first.
         callers: ``outside`` and the names of services that may call it.
+        expected_targets: How many targets the service has. Keyed requests
+            run only where more than half of them are in sight; 0 counts
+            only those that were seen.
         slots: Requests that one warm target runs at a time.
         deadline_ms: Milliseconds that a caller waits, unless it says less.
         health_path: The path that probes ask for.
@@ -68,6 +71,7 @@
 
     priority: Priority = Priority.NORMAL
     callers: tuple[Name, ...] = (OUTSIDE,)
+    expected_targets: Annotated[int, Meta(ge=0, le=100000)] = 0
     slots: Annotated[int, Meta(ge=1, le=1024)] = 6
     deadline_ms: Annotated[int, Meta(ge=10, le=120000)] = 2000
     health_path: Annotated[str, Meta(pattern='^/[!-~]*$')] = '/health'
--- /dev/null
+++ b/tests/keyed_world.py
@@ -0,0 +1,231 @@
+"""Nodes that hold keys, under crashes, cuts and late views."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+from random import Random
+from uuid import UUID
+
+from bluebellsill.idempotency import (
+    FENCE,
+    ClaimState,
+    HolderHistory,
+    KeyHolder,
+    Outcome,
+    holders_of,
+    key_time,
+)
+from bluebellsill.membership import MemberState
+from bluebellsill.messages import Member
+
+_START = 1_700_000_000.0  # seconds since 1970
+_MAX_SKEW = 1.0  # seconds that a caller's clock is off
+DETECTION = (2.0, 4.0)  # seconds until a failure is noticed
+_GOSSIP = (0.0, 1.0)  # seconds until a join is noticed
+
+
+@dataclass
+class Node:
+    """One member with its records and its view of the others."""
+
+    id: str
+    incarnation: int
+    expected: int
+    side: int = 0
+    is_alive: bool = True
+    history: HolderHistory = field(default_factory=lambda: HolderHistory(0))
+    holder: KeyHolder = field(default_factory=KeyHolder)
+    view: dict[str, int] = field(default_factory=dict)
+
+    def observe(self, now: float) -> None:
+        """Tell the history of the present view."""
+        members = [
+            Member(one, life, 0, int(MemberState.READY), 'a', 's')
+            for one, life in self.view.items()
+        ]
+        self.history.observe(members, now, self.expected)
+
+
+class World:
+    """Plays calls with keys and counts how often each key ran."""
+
+    def __init__(self, size: int, seed: int) -> None:
+        self.now = _START
+        self.size = size
+        self.random = Random(seed)
+        self.nodes_by_id: dict[str, Node] = {}
+        self.runs_by_key: Counter[str] = Counter()
+        self.refused: Counter[str] = Counter()
+        self._due: list[tuple[float, str, str, int, bool]] = []
+        self._lives = 0
+        self._attempts = 0
+        for index in range(size):
+            self._birth(f'10.0.0.{index}:1')
+        for node in self.nodes_by_id.values():
+            node.view = {
+                one.id: one.incarnation for one in self.nodes_by_id.values()
+            }
+            node.observe(self.now)
+        self.step(2 * FENCE)
+
+    def step(self, seconds: float) -> None:
+        """Let time pass; views follow what has happened, late."""
+        self.now += seconds
+        for change in sorted(self._due):
+            due, viewer, subject, life, is_lost = change
+            if due > self.now:
+                continue
+            self._due.remove(change)
+            self._learn(viewer, subject, life, is_lost=is_lost)
+
+    def crash(self, node_id: str) -> None:
+        """Kill a node; its records are gone."""
+        node = self.nodes_by_id[node_id]
+        node.is_alive = False
+        for viewer in self._others(node_id):
+            self._learn_later(viewer, node, is_lost=True)
+
+    def restart(self, node_id: str) -> None:
+        """Start a new life of a dead node."""
+        if self.nodes_by_id[node_id].is_alive:
+            return
+        node = self._birth(node_id)
+        node.view = {node.id: node.incarnation}
+        for other in self._others(node_id):
+            if other.is_alive and other.side == node.side:
+                node.view[other.id] = other.incarnation
+                delay = self.random.uniform(*_GOSSIP)
+                due = self.now + delay
+                change = (due, other.id, node.id, node.incarnation, False)
+                self._due.append(change)
+        node.observe(self.now)
+
+    def part(self, node_ids: list[str]) -> None:
+        """Cut some nodes off from the others."""
+        for node in self.nodes_by_id.values():
+            node.side = int(node.id in node_ids)
+        for node in self.nodes_by_id.values():
+            for viewer in self._others(node.id):
+                if viewer.side != node.side:
+                    self._learn_later(viewer, node, is_lost=True)
+
+    def heal(self) -> None:
+        """End the cut; nodes given up come back in a new life."""
+        for node in self.nodes_by_id.values():
+            if node.side and node.is_alive:
+                self._lives += 1
+                node.incarnation = self._lives
+                node.view[node.id] = node.incarnation
+            node.side = 0
+        for node in self.nodes_by_id.values():
+            for viewer in self._others(node.id):
+                if node.is_alive:
+                    due = self.now + self.random.uniform(*_GOSSIP)
+                    life = node.incarnation
+                    self._due.append((due, viewer.id, node.id, life, False))
+
+    def new_key(self, *, tells_time: bool) -> str:
+        """Return a caller's key."""
+        if not tells_time:
+            return f'opaque-{self.random.getrandbits(40)}'
+        skew = self.random.uniform(-_MAX_SKEW, _MAX_SKEW)
+        milliseconds = int((self.now + skew) * 1000)
+        low = self.random.getrandbits(62)
+        return str(UUID(int=milliseconds << 80 | 7 << 76 | 2 << 62 | low))
+
+    def call(self, entry_id: str, key: str, *, loses_settle: bool) -> None:
+        """Send a request with a key through an entry node."""
+        entry = self.nodes_by_id[entry_id]
+        if not entry.is_alive:
+            return
+        self._attempts += 1
+        owner = f'attempt-{self._attempts}'
+        holders = holders_of(key, entry.view)
+        granted: list[Node] = []
+        is_certain = False
+        for holder_id, _ in holders:
+            state = self._claim(entry, holder_id, key, owner, holders)
+            if state not in {ClaimState.GRANTED, ClaimState.UNCERTAIN}:
+                self.refused[state.name if state else 'LOST'] += 1
+                break
+            is_certain |= state is ClaimState.GRANTED
+            granted.append(self.nodes_by_id[holder_id])
+        runs = len(granted) == len(holders) and is_certain
+        if runs:
+            self.runs_by_key[key] += 1
+        if loses_settle:
+            return
+        outcome = Outcome.ANSWERED if runs else Outcome.NOT_RUN
+        for node in granted:
+            answer = (200, [], b'') if runs else None
+            node.holder.settle(key, owner, outcome, answer)
+
+    def _claim(
+        self,
+        entry: Node,
+        holder_id: str,
+        key: str,
+        owner: str,
+        holders: list[tuple[str, int]],
+    ) -> ClaimState | None:
+        node = self.nodes_by_id[holder_id]
+        if not node.is_alive or node.side != entry.side:
+            return None
+        if node.history.holders(key) != holders:
+            return ClaimState.NOT_HOLDER
+        is_settled = node.history.is_settled(key, self.now)
+        if not node.history.has_majority or not is_settled:
+            return ClaimState.NOT_HOLDER
+        grant = node.holder.claim(
+            key,
+            owner,
+            1,
+            lifetime=5,
+            now=self.now,
+            certainty=node.history.certainty(key, key_time(key), self.now),
+        )
+        return grant.state
+
+    def _birth(self, node_id: str) -> Node:
+        self._lives += 1
+        node = Node(
+            node_id,
+            self._lives,
+            self.size,
+            history=HolderHistory(self.now),
+        )
+        self.nodes_by_id[node_id] = node
+        return node
+
+    def _others(self, node_id: str) -> list[Node]:
+        return [one for one in self.nodes_by_id.values() if one.id != node_id]
+
+    def _learn_later(self, viewer: Node, node: Node, *, is_lost: bool) -> None:
+        due = self.now + self.random.uniform(*DETECTION)
+        life = node.incarnation
+        self._due.append((due, viewer.id, node.id, life, is_lost))
+
+    def _learn(
+        self,
+        viewer_id: str,
+        subject: str,
+        life: int,
+        *,
+        is_lost: bool,
+    ) -> None:
+        viewer = self.nodes_by_id[viewer_id]
+        known = viewer.view.get(subject, 0)
+        if known > life or (is_lost and known != life):
+            return
+        if is_lost:
+            node = self.nodes_by_id[subject]
+            is_back = node.is_alive and node.incarnation == life
+            if is_back and node.side == viewer.side:
+                return
+            del viewer.view[subject]
+            gone = Member(subject, life, 0, int(MemberState.GONE), 'a', 's')
+            viewer.history.on_lost(gone, self.now)
+        else:
+            viewer.view[subject] = life
+        viewer.observe(self.now)
