--- a/bluebellsill/dispatch.py
+++ b/bluebellsill/dispatch.py
@@ -23,6 +23,7 @@
         HTTPStatus.GATEWAY_TIMEOUT,
     )
 )
+_PATIENCE = 4  # usual latencies until a try counts as hanging
 _MIN_BUDGET = 0.005  # seconds that a try needs to make sense
 
 
@@ -126,8 +127,10 @@
         """Take in a failure after which the target may have run the call."""
         self.may_have_run = True
         view = self._end_try()
+        now = self._clock.now()
         if view is not None:
-            view.on_failure(self._clock.now())
+            view.on_failure(now)
+            view.latency = max(view.latency, now - self._sent_at)
         problem = Problem(kind, message)
         if not self._is_idempotent:
             return Problem(ErrorKind.OUTCOME_UNKNOWN, message)
@@ -151,9 +154,18 @@
         self._view = view
         self._sent_at = now
         view.started.append(now)
+        return Place(view.id, self._seconds(view, left))
+
+    def _seconds(self, view: TargetView, left: float) -> float:
+        """Return the time of a try.
+
+        Half of what is left is kept for another try, should this one
+        hang, unless the target's usual latency does not allow for it.
+        """
         is_last = len(self._tried) == _MAX_TRIES or not self._is_idempotent
-        # Half of the time is kept for another try, should this one hang.
-        return Place(view.id, left if is_last else left / 2)
+        is_known = view.latency_at > 0
+        patience = _PATIENCE * view.latency if is_known else left
+        return left if is_last or patience > left / 2 else left / 2
 
     def _end_try(self) -> TargetView | None:
         view = self._view
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,119 @@
+"""The choice of a target, and what a pause means."""
+
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+
+from bluebellsill.freshness import Freshness
+from bluebellsill.membership import MemberState
+from bluebellsill.messages import Member
+from bluebellsill.routing import SUBSET_SIZE, Router
+
+
+def _member(index: int, zone: str) -> Member:
+    ready = int(MemberState.READY)
+    return Member(f'10.0.{index}.1:1', 1, 0, ready, zone, 's')
+
+
+def _router(zones: str, own_zone: str = 'a') -> Router:
+    router = Router('10.9.9.9:1', own_zone, Random(5))
+    router.update([_member(one, zone) for one, zone in enumerate(zones)])
+    for view in router.views_by_id.values():
+        view.limit = 6
+    return router
+
+
+def _choices(router: Router, count: int, now: float) -> Counter[str]:
+    chosen: Counter[str] = Counter()
+    for _ in range(count):
+        view = router.choose((), now)
+        assert view is not None
+        chosen[view.id] += 1
+    return chosen
+
+
+def test_own_zone_goes_first_while_it_is_not_loaded() -> None:
+    router = _router('aabbcc')
+    chosen = _choices(router, 300, 1)
+    assert chosen['10.0.0.1:1'] + chosen['10.0.1.1:1'] == 300
+
+
+def test_loaded_own_zone_spills_over() -> None:
+    router = _router('aabbcc')
+    for view in router.views_by_id.values():
+        if view.zone == 'a':
+            view.on_report(6, 6, 1)
+    chosen = _choices(router, 300, 1)
+    assert chosen['10.0.0.1:1'] + chosen['10.0.1.1:1'] < 150
+
+
+def test_slow_target_is_avoided_before_it_answers() -> None:
+    router = _router('aaaa')
+    slow = router.views_by_id['10.0.0.1:1']
+    for view in router.views_by_id.values():
+        view.on_latency(0.01, 1)
+        view.started.append(1)
+    for view in router.views_by_id.values():
+        if view is not slow:
+            view.started.clear()
+    # 40 ms after it was sent, four times the usual latency.
+    assert _choices(router, 400, 1.04)['10.0.0.1:1'] < 60
+
+
+def test_slow_target_is_tried_again_later() -> None:
+    router = _router('aa')
+    router.views_by_id['10.0.0.1:1'].on_latency(0.1, 1)
+    router.views_by_id['10.0.1.1:1'].on_latency(0.01, 1)
+    assert _choices(router, 100, 20)['10.0.0.1:1'] > 20
+
+
+def test_target_that_fails_fast_is_no_favourite() -> None:
+    router = _router('aaaa')
+    router.views_by_id['10.0.0.1:1'].on_failure(1)
+    assert _choices(router, 200, 1.05)['10.0.0.1:1'] == 0
+
+
+def test_last_resort_is_still_used() -> None:
+    router = _router('a')
+    router.views_by_id['10.0.0.1:1'].on_failure(1)
+    assert router.choose((), 1) is not None
+    assert router.choose(['10.0.0.1:1'], 1) is None
+
+
+def test_returning_target_gets_no_herd() -> None:
+    router = _router('aaaaaa')
+    router.update([_member(one, 'a') for one in range(5)])
+    router.update([_member(one, 'a') for one in range(6)])
+    # Until it reports its limit, it is taken to bear one call.
+    assert _choices(router, 600, 1)['10.0.5.1:1'] < 40
+
+
+def test_subsets_are_bounded_and_spread() -> None:
+    members = [_member(one, 'a' if one % 2 else 'b') for one in range(64)]
+    load: Counter[str] = Counter()
+    for entry in range(128):
+        router = Router(f'10.8.{entry}.1:1', 'ab'[entry % 2], Random(1))
+        router.update(members)
+        assert len(router.views_by_id) == SUBSET_SIZE
+        load.update(list(router.views_by_id))
+    # 128 entry nodes with 16 targets each are 32 for each target.
+    assert len(load) == 64
+    assert max(load.values()) < 64
+
+
+def test_pause_makes_stale_until_a_peer_is_heard() -> None:
+    freshness = Freshness(0)
+    assert not freshness.check(0.1)
+    assert freshness.check(5)
+    assert not freshness.is_fresh
+    freshness.confirm()
+    assert freshness.is_fresh
+
+
+def test_node_alone_goes_on_after_a_while() -> None:
+    freshness = Freshness(0)
+    freshness.check(5)
+    for tick in range(40):
+        freshness.check(5 + tick / 10)
+    assert freshness.is_fresh
