--- a/bluebellsill/gateway.py
+++ b/bluebellsill/gateway.py
@@ -7,6 +7,7 @@
 from result import Err
 
 from bluebellsill.calls import PlacedCall
+from bluebellsill.choice import ChoiceName, make_choice
 from bluebellsill.dispatch import Dispatch
 from bluebellsill.errors import Problem, Run
 from bluebellsill.filters import (
@@ -66,6 +67,7 @@
         metrics: Metrics,
         key_holders: KeyHolders,
         random: Random,
+        choice: ChoiceName,
     ) -> None:
         """Create a gateway; it follows members and configuration."""
         self.in_flight = 0
@@ -76,6 +78,7 @@
         self._metrics = metrics
         self._key_holders = key_holders
         self._random = random
+        self._choice = choice
         self._clock = links.reactor.timers.clock
         self._routes_by_service: dict[str, _Route] = {}
         self._next_call = 0
@@ -202,7 +205,8 @@
         route = self._routes_by_service.get(service)
         if route is None:
             own = self._members.own
-            route = _Route(Router(own.id, own.zone, self._random))
+            choice = make_choice(self._choice, self._random, own.zone)
+            route = _Route(Router(own.id, own.zone, choice))
             self._routes_by_service[service] = route
         if not route.is_current:
             route.router.update(self._targets(service))
--- a/bluebellsill/node.py
+++ b/bluebellsill/node.py
@@ -262,6 +262,7 @@
             self._metrics,
             self._keys,
             self._random,
+            settings.routing.choice,
         )
         target_api = TargetApi(
             self._runner,
--- a/bluebellsill/routing.py
+++ b/bluebellsill/routing.py
@@ -1,9 +1,4 @@
-"""Chooses the target for a call from what answers told of load.
-
-Mitzenmacher, "The power of two choices in randomized load balancing",
-2001: of two random candidates the one with the lower estimate is taken,
-so that old reports do not send a herd to one target.
-"""
+"""The targets that an entry node uses, and what it believes of them."""
 
 from __future__ import annotations
 
@@ -16,18 +11,17 @@
 
 if TYPE_CHECKING:
     from collections.abc import Collection
-    from random import Random
-
+    from bluebellsill.choice import Choice
     from bluebellsill.messages import Member
 
 __all__ = ('Router', 'TargetView')
 
 SUBSET_SIZE = 16  # targets of one service that an entry node uses
 _OWN_ZONE_SIZE = 8
-_REPORT_LIFETIME = 0.05  # seconds in which a report loses most of its weight
-_PEAK_LIFETIME = 1.0  # seconds in which a latency peak loses most of its weight
 _FADE_LIFETIME = 2.0  # seconds in which an unconfirmed latency fades
-_KEPT_SHARE = 0.9  # of an old latency at an answer right after it
+_LATENCY_WEIGHT = 0.1  # of a new latency in the average
+_OTHERS_WEIGHT = 0.1  # of a new report in the average
+_OVERDUE = 3  # usual latencies from which a call counts as overdue
 _FIRST_LATENCY = 0.01  # seconds
 _FIRST_PENALTY = 0.1  # seconds
 _MAX_PENALTY = 2.0  # seconds
@@ -42,9 +36,10 @@
         zone: The target's availability zone.
         started: When each call of this node to it began, oldest first.
         limit: The last reported limit.
-        reported: The last reported load, this node's own part included.
+        reported: The last reported load of other entry nodes.
+        others: A moving average of that load.
         reported_at: When that was reported.
-        latency: A moving average that jumps to peaks, in seconds.
+        latency: A moving average of latencies, in seconds.
         latency_at: When the latency was last observed.
         failures: Failures in a row.
         avoided_until: Until when the target is a last resort.
@@ -55,6 +50,7 @@
     started: deque[float] = field(default_factory=deque)
     limit: int = 1
     reported: int = 0
+    others: float = 0
     reported_at: float = 0
     latency: float = _FIRST_LATENCY
     latency_at: float = 0
@@ -64,32 +60,34 @@
     def cost(self, now: float) -> float:
         """Return the expected time of one more call, in seconds."""
         own = len(self.started)
+        # Calls of others come and go within about one latency.
         age = max(0, now - self.reported_at)
-        others = max(0, self.reported - own) * exp(-age / _REPORT_LIFETIME)
+        kept = exp(-age / max(self.latency, _FIRST_LATENCY))
+        others = self.others + (self.reported - self.others) * kept
         # Old observations fade, so that a target that was slow is tried again.
         faded = exp(-max(0, now - self.latency_at) / _FADE_LIFETIME)
         latency = _FIRST_LATENCY + (self.latency - _FIRST_LATENCY) * faded
         if self.started:
-            # A call that is still out has taken at least this long.
-            latency = max(latency, now - self.started[0])
+            oldest = now - self.started[0]
+            if oldest > _OVERDUE * latency:
+                # A call that is still out takes at least this long.
+                latency = oldest
         return latency * (own + others + 1) / self.limit
 
     def on_report(self, load: int, limit: int, now: float) -> None:
         """Take in the load that came with an answer or a refusal."""
-        self.reported = load
+        self.reported = max(0, load - len(self.started))
+        self.others += _OTHERS_WEIGHT * (self.reported - self.others)
         self.limit = max(1, limit)
         self.reported_at = now
 
     def on_latency(self, seconds: float, now: float) -> None:
-        """Take in the latency of an answer: up at once, down slowly."""
+        """Take in the latency of an answer."""
         self.failures = 0
-        if seconds >= self.latency:
-            self.latency = seconds
+        if self.latency_at:
+            self.latency += _LATENCY_WEIGHT * (seconds - self.latency)
         else:
-            age = max(0, now - self.latency_at)
-            kept = exp(-age / _PEAK_LIFETIME)
-            blended = _KEPT_SHARE * kept
-            self.latency = blended * self.latency + (1 - blended) * seconds
+            self.latency = seconds
         self.latency_at = now
 
     def on_failure(self, now: float) -> None:
@@ -102,18 +100,18 @@
 class Router:
     """The targets of one service that this entry node uses."""
 
-    def __init__(self, own_id: str, own_zone: str, random: Random) -> None:
+    def __init__(self, own_id: str, own_zone: str, choice: Choice) -> None:
         """Create a router without targets.
 
         Args:
             own_id: Spreads the subsets of entry nodes evenly.
             own_zone: Preferred while it is not the more loaded one.
-            random: Draws the candidates.
+            choice: Chooses among the targets that may take a call.
         """
         self.views_by_id: dict[str, TargetView] = {}
         self._own_id = own_id
         self._own_zone = own_zone
-        self._random = random
+        self._choice = choice
 
     def update(self, members: Collection[Member]) -> None:
         """Choose the subset among the targets that are ready.
@@ -148,10 +146,7 @@
         candidates = good or views
         if not candidates:
             return None
-        near = [view for view in candidates if view.zone == self._own_zone]
-        first = self._random.choice(near or candidates)
-        second = self._random.choice(candidates)
-        return second if second.cost(now) < first.cost(now) else first
+        return self._choice.pick(candidates, now)
 
     def _take(self, members: list[Member], count: int) -> list[Member]:
         if len(members) <= count:
--- a/bluebellsill/settings.py
+++ b/bluebellsill/settings.py
@@ -10,12 +10,14 @@
 from result import Err, Ok, Result
 
 from bluebellsill._validation import Fault, validate
+from bluebellsill.choice import ChoiceName
 
 __all__ = (
     'ListenSettings',
     'MembershipSettings',
     'NodeSettings',
     'OperatorSettings',
+    'RoutingSettings',
     'Settings',
     'StoreSettings',
     'load_toml',
@@ -70,7 +72,13 @@
 class MembershipSettings(Struct, frozen=True):
     """Peers to meet while the store cannot be read."""
 
-    seeds: list[AddressText] = []
+    seeds: tuple[AddressText, ...] = ()
+
+
+class RoutingSettings(Struct, frozen=True):
+    """How targets are chosen; all but the first are for comparison."""
+
+    choice: ChoiceName = ChoiceName.TWO_CHOICES
 
 
 class Settings(Struct, frozen=True):
@@ -81,6 +89,7 @@
     store: StoreSettings
     operators: OperatorSettings
     membership: MembershipSettings = MembershipSettings()
+    routing: RoutingSettings = RoutingSettings()
 
 
 def load_toml(
--- /dev/null
+++ b/demo/experiment.py
@@ -0,0 +1,243 @@
+"""Plays an experiment once for each way to choose a target.
+
+``python -m demo.experiment experiments/surge.toml`` starts the processes,
+plays the load that the file describes while its events happen, prints a
+table and writes all figures as JSON below ``experiments/results``.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
+from threading import Timer
+from time import monotonic
+from typing import TYPE_CHECKING, Annotated, Any
+
+import msgspec
+
+from bluebellsill.choice import ChoiceName
+from bluebellsill.load import Stream
+from demo.harness import Deployment, deployment, wait_until
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+_RESULTS = Path('experiments/results')
+_SERVICE = 'catalogue'
+_QUIET = 0.5  # seconds without new work until a zone counts as empty
+
+
+class Event(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Something that happens during the load.
+
+    Attributes:
+        at: Seconds into the load.
+        action: What happens: ``target``, ``zone_out`` or ``zone_back``.
+        index: Which target it happens to.
+        change: How the target behaves from then on.
+    """
+
+    at: float
+    action: str
+    index: int = 0
+    change: dict[str, Any] = msgspec.field(default_factory=dict)
+
+
+class Experiment(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One experiment.
+
+    Attributes:
+        name: Names the results.
+        question: What it shows.
+        seconds: How long the load is.
+        targets: How many targets there are, over three zones.
+        warm_up: Calls a second, for ten seconds, before the load.
+        behaviour: How the targets behave at first.
+        streams: The calls, in the form of a load plan.
+        events: What happens meanwhile.
+        choices: The ways to compare.
+        seed: Seeds the arrivals.
+    """
+
+    name: str
+    question: str
+    seconds: Annotated[float, msgspec.Meta(gt=0)]
+    targets: Annotated[int, msgspec.Meta(ge=1)]
+    streams: list[Stream]
+    warm_up: float = 0
+    behaviour: dict[str, Any] = msgspec.field(default_factory=dict)
+    events: list[Event] = msgspec.field(default_factory=list)
+    choices: list[ChoiceName] = msgspec.field(
+        default_factory=lambda: list(ChoiceName),
+    )
+    seed: int = 1
+
+
+def main() -> int:
+    """Play the experiments that the command line names."""
+    parser = argparse.ArgumentParser(prog='demo.experiment')
+    parser.add_argument('files', nargs='+', type=Path)
+    parser.add_argument('--choices', help='compare only these, by commas')
+    options = parser.parse_args()
+    for file in options.files:
+        document = tomllib.loads(file.read_text(encoding='utf-8'))
+        if options.choices:
+            document['choices'] = options.choices.split(',')
+        _play_all(msgspec.convert(document, Experiment))
+    return 0
+
+
+def _play_all(experiment: Experiment) -> None:
+    results = {
+        choice.value: _play(experiment, choice) for choice in experiment.choices
+    }
+    _RESULTS.mkdir(parents=True, exist_ok=True)
+    path = _RESULTS / f'{experiment.name}.json'
+    document = {'question': experiment.question, 'results': results}
+    path.write_text(f'{json.dumps(document, indent=1)}\n', encoding='utf-8')
+    _print(experiment, results)
+
+
+def _play(experiment: Experiment, choice: ChoiceName) -> dict[str, Any]:
+    with deployment() as running:
+        running.choice = choice.value
+        _start(running, experiment)
+        if experiment.warm_up:
+            warm_up = Stream('warm-up', f'/{_SERVICE}/x', experiment.warm_up)
+            _load(running, 10, [warm_up], experiment.seed)
+        measured: dict[str, Any] = {}
+        timers = [
+            Timer(event.at, _happen, (running, event, measured))
+            for event in experiment.events
+        ]
+        before = [
+            _counts(running, index) for index in range(experiment.targets)
+        ]
+        for timer in timers:
+            timer.start()
+        report = _load(
+            running,
+            experiment.seconds,
+            experiment.streams,
+            experiment.seed,
+        )
+        for timer in timers:
+            timer.join()
+        after = [_counts(running, index) for index in range(experiment.targets)]
+    report['events'] = measured
+    report['targets'] = [
+        {name: late.get(name, 0) - early.get(name, 0) for name in late}
+        for early, late in zip(before, after, strict=True)
+    ]
+    return report
+
+
+def _start(running: Deployment, experiment: Experiment) -> None:
+    for index in range(experiment.targets):
+        running.start_node('abc'[index % 3], _SERVICE)
+    for pair in running.pairs:
+        pair.node.read_listening()
+        running.start_target(pair, experiment.behaviour)
+    for pair in running.pairs:
+        assert pair.target is not None
+        pair.target.read_listening()
+    running.wait_ready()
+    running.declare({_SERVICE: {'expected_targets': experiment.targets}})
+
+
+def _counts(running: Deployment, index: int) -> dict[str, int]:
+    counts: dict[str, int] = running.pairs[index].target_stats()['counts']
+    return counts
+
+
+def _load(
+    running: Deployment,
+    seconds: float,
+    streams: Iterable[Stream],
+    seed: int,
+) -> dict[str, Any]:
+    entries = [pair.callers for pair in running.pairs]
+    lines = [
+        f'seconds = {seconds}',
+        f'seed = {seed}',
+        f'entries = {json.dumps(entries)}',
+    ]
+    for stream in streams:
+        lines.append('[[streams]]')
+        fields = msgspec.to_builtins(stream).items()
+        lines.extend(f'{key} = {json.dumps(found)}' for key, found in fields)
+    path = running.directory / 'plan.toml'
+    path.write_text('\n'.join(lines), encoding='utf-8')
+    program = Path(sys.executable).parent / 'bluebellsill-load'
+    done = subprocess.run(
+        [str(program), 'play', '--json', str(path)],
+        stdout=subprocess.PIPE,
+        check=True,
+        timeout=seconds + 60,
+    )
+    report: dict[str, Any] = json.loads(done.stdout)
+    return report
+
+
+def _happen(
+    running: Deployment,
+    event: Event,
+    measured: dict[str, Any],
+) -> None:
+    if event.action == 'target':
+        running.pairs[event.index].change_target(**event.change)
+        return
+    zone = running.pairs[event.index].zone
+    is_out = event.action == 'zone_out'
+    client = running.pairs[0].client()
+    accepted_at = monotonic()
+    change = client.put('availability-zones', zone, {'in_service': not is_out})
+    client.wait(change['revision'], 10)
+    measured[f'{event.action}_in_force_s'] = round(monotonic() - accepted_at, 3)
+    if is_out:
+        pairs = running.of_zone(zone)
+        wait_until(lambda: _idle(running, zone) > _QUIET, 10)
+        idle = min(pair.target_stats()['idle_seconds'] for pair in pairs)
+        seconds = max(0, monotonic() - idle - accepted_at)
+        measured['zone_empty_s'] = round(seconds, 3)
+
+
+def _idle(running: Deployment, zone: str) -> float:
+    pairs = running.of_zone(zone)
+    return min(float(pair.target_stats()['idle_seconds']) for pair in pairs)
+
+
+def _print(experiment: Experiment, results: dict[str, Any]) -> None:
+    sys.stdout.write(f'\n{experiment.name}: {experiment.question}\n')
+    row = '{:<16}{:<14}{:>7}{:>9}{:>7}{:>9}{:>9}{:>10}\n'
+    head = (
+        'choice',
+        'stream',
+        'calls',
+        'answered',
+        'lost',
+        'p50',
+        'p99',
+        'p99.9',
+    )
+    sys.stdout.write(row.format(*head))
+    for choice, report in results.items():
+        for name, stream in report['streams'].items():
+            counts, latency = stream['counts'], stream['latency']
+            answered = counts.get('answered', 0)
+            shown = [
+                f'{latency[key]:.1f}' for key in ('p50_ms', 'p99_ms', 'p999_ms')
+            ]
+            calls = counts.get('calls', 0)
+            line = (choice, name, calls, answered, calls - answered, *shown)
+            sys.stdout.write(row.format(*line))
+        if report['events']:
+            sys.stdout.write(f'{choice:<16}{report["events"]}\n')
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/demo/harness.py
+++ b/demo/harness.py
@@ -41,6 +41,8 @@
 token = "{token}"
 [membership]
 seeds = {seeds}
+[routing]
+choice = "{choice}"
 """
 
 
@@ -137,6 +139,7 @@
     store: Process
     pairs: list[Pair] = field(default_factory=list)
     started: int = 0
+    choice: str = 'two_choices'
 
     def add(
         self,
@@ -174,6 +177,7 @@
                 store=self.store.listening,
                 token=TOKEN,
                 seeds=json.dumps(list(seeds)),
+                choice=self.choice,
             ),
         )
         log = self.directory / f'node-{self.started}.log'
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -7,6 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from bluebellsill.choice import TwoChoices
 from bluebellsill.clock import ManualClock
 from bluebellsill.dispatch import Dispatch, Place
 from bluebellsill.errors import ErrorKind, Problem, Run
@@ -29,7 +30,7 @@
 
 
 def _router(size: int = 5) -> Router:
-    router = Router('10.0.0.9:1', 'a', Random(1))
+    router = Router('10.0.0.9:1', 'a', TwoChoices(Random(1), 'a'))
     router.update(
         [
             Member(f'10.0.0.{one}:1', 1, 0, int(MemberState.READY), 'a', 's')
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from random import Random
 
+from bluebellsill.choice import RandomChoice, TwoChoices
 from bluebellsill.freshness import Freshness
 from bluebellsill.membership import MemberState
 from bluebellsill.messages import Member
@@ -17,7 +18,7 @@
 
 
 def _router(zones: str, own_zone: str = 'a') -> Router:
-    router = Router('10.9.9.9:1', own_zone, Random(5))
+    router = Router('10.9.9.9:1', own_zone, TwoChoices(Random(5), own_zone))
     router.update([_member(one, zone) for one, zone in enumerate(zones)])
     for view in router.views_by_id.values():
         view.limit = 6
@@ -93,7 +94,11 @@
     members = [_member(one, 'a' if one % 2 else 'b') for one in range(64)]
     load: Counter[str] = Counter()
     for entry in range(128):
-        router = Router(f'10.8.{entry}.1:1', 'ab'[entry % 2], Random(1))
+        router = Router(
+            f'10.8.{entry}.1:1',
+            'ab'[entry % 2],
+            RandomChoice(Random(1)),
+        )
         router.update(members)
         assert len(router.views_by_id) == SUBSET_SIZE
         load.update(list(router.views_by_id))
