Tell an operator 'refused' only when the change can no longer land

Cause: a write whose answer was lost was read back, not found and put again; when the second put could not be sent, the operator was told that the store was unavailable, although the first put still took effect later (script ok, late, ok, down). And a node that woke after a pause took answers for fresh that had waited in its socket since before the pause. Change: after a put of unknown outcome every failure is write_unresolved and is read back first; after a pause only answers to later pings count, and only from peers whose configuration is not newer.

--- a/bluebellsill/freshness.py
+++ b/bluebellsill/freshness.py
@@ -20,6 +20,7 @@
         """Start fresh."""
         self._checked_at = now
         self._stale_since: float | None = None
+        self._first_question = 0
 
     def check(self, now: float) -> bool:
         """Compare the time with the last check.
@@ -39,9 +40,24 @@
                 self._stale_since = None
         return paused
 
-    def confirm(self) -> None:
-        """A peer has answered a question asked after the pause."""
-        self._stale_since = None
+    def on_paused(self, next_question: int) -> None:
+        """Trust only answers to questions from this number on.
+
+        Args:
+            next_question: The number of the next ping; answers to earlier
+                ones may have waited in the socket throughout the pause.
+        """
+        self._first_question = next_question
+
+    def on_answer(self, question: int, *, is_behind: bool) -> None:
+        """Take in a peer's answer.
+
+        Args:
+            question: The number of the ping that it answers.
+            is_behind: Whether the peer has a newer configuration.
+        """
+        if question >= self._first_question and not is_behind:
+            self._stale_since = None
 
     @property
     def is_fresh(self) -> bool:
--- a/bluebellsill/node.py
+++ b/bluebellsill/node.py
@@ -35,7 +35,6 @@
     Message,
     RevisionRequest,
     Settle,
-    Sync,
     ZoneReportRequest,
 )
 from bluebellsill.metrics import Metrics
@@ -354,8 +353,9 @@
         if isinstance(message, Applied):
             self._rollout.on_applied(message)
             return
-        if isinstance(message, Ack | Sync):
-            self._freshness.confirm()
+        if isinstance(message, Ack):
+            is_behind = message.revision > self._configuration.revision
+            self._freshness.on_answer(message.sequence, is_behind=is_behind)
         self._gossip.send_all(self._swim.handle(message, self._clock.now()))
         sender = getattr(message, 'sender', None)
         revision = getattr(message, 'revision', 0)
@@ -398,6 +398,7 @@
     def _check_freshness(self) -> None:
         if self._freshness.check(self._clock.now()):
             self._log.warning('paused; waiting for a peer')
+            self._freshness.on_paused(self._swim.next_sequence)
             self._gossip.send_all(self._swim.push())
 
     def _tick_swim(self) -> None:
--- a/bluebellsill/swim.py
+++ b/bluebellsill/swim.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from itertools import count
 from math import ceil, log2
 from typing import TYPE_CHECKING
 
@@ -91,7 +90,7 @@
         self.seeds: list[str] = []
         self._random = random
         self._revision = revision
-        self._sequence = count(1)
+        self.next_sequence = 1
         self._probes: dict[int, _Probe] = {}
         self._relays: dict[int, _Relay] = {}
         self._suspected_at_by_id: dict[str, float] = {}
@@ -263,7 +262,8 @@
     def _ping(self, address: str) -> Send:
         own = self.members.own
         updates = self._news(about=address)
-        ping = Ping(next(self._sequence), own, self._revision(), updates)
+        ping = Ping(self.next_sequence, own, self._revision(), updates)
+        self.next_sequence += 1
         return Send(address, ping)
 
     def _ask_helpers(self, target: Member, sequence: int) -> list[Send]:
--- a/bluebellsill/writer.py
+++ b/bluebellsill/writer.py
@@ -202,7 +202,8 @@
         failure = done.err_value
         if failure.is_conflict:
             self._on_conflict()
-        elif failure.is_unknown:
+        elif failure.is_unknown or self._resolve_until is not None:
+            # An earlier put of this write may still take effect.
             self._resolve()
         else:
             self._fail(ErrorKind.STORE_UNAVAILABLE, failure.reason)
@@ -236,6 +237,8 @@
             self._resolve()
 
     def _fail(self, kind: ErrorKind, message: str) -> None:
+        if self._resolve_until is not None:
+            kind = ErrorKind.WRITE_UNRESOLVED
         self._on_done(Err(Problem(kind, message)))
 
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -112,7 +112,12 @@
     assert not freshness.check(0.1)
     assert freshness.check(5)
     assert not freshness.is_fresh
-    freshness.confirm()
+    freshness.on_paused(next_question=8)
+    freshness.on_answer(7, is_behind=False)
+    assert not freshness.is_fresh  # it waited in the socket all along
+    freshness.on_answer(8, is_behind=True)
+    assert not freshness.is_fresh  # the new configuration comes first
+    freshness.on_answer(9, is_behind=False)
     assert freshness.is_fresh
 
 
