--- a/demo/capacity.py
+++ b/demo/capacity.py
@@ -12,7 +12,6 @@
 import os
 import sys
 from functools import partial
-from pathlib import Path
 from random import Random
 from time import monotonic, perf_counter, sleep
 from typing import TYPE_CHECKING
@@ -30,6 +29,7 @@
 from bluebellsill.messages import Member, Sync, encode
 from bluebellsill.resources import Kind
 from bluebellsill.swim import Swim
+from demo.processes import processor_seconds, resident
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -39,7 +39,6 @@
 _ZONES = 22
 _SERVICES = 1600
 _SIZES = (1000, 3000, 9000, 27000)
-_TICKS_PER_SECOND = os.sysconf('SC_CLK_TCK')
 _REPEATS = 20
 _SETTLE = 10.0  # seconds
 _WINDOW = 20.0  # seconds
@@ -60,7 +59,7 @@
 
 
 def _measure_members(sizes: list[int]) -> None:
-    before = _resident(os.getpid())
+    before = resident(os.getpid())
     _say('imports', f'{before:.1f} MB resident')
     members = Members(_member(0))
     swim = Swim(members, Random(1), _no_revision)
@@ -69,7 +68,7 @@
             record = _member(index)
             swim.handle(Sync(record, 0, [record]), 0)
         gc.collect()
-        grown = _resident(os.getpid()) - before
+        grown = resident(os.getpid()) - before
         datagram = max(len(encode(one.message)) for one in swim.push())
         _say(
             f'{size} members',
@@ -88,8 +87,8 @@
         f'{_SERVICES} services',
         f'snapshot {len(payload)} B, applied in {seconds:.2f} s',
     )
-    resident = _resident(os.getpid())
-    _say('all together', f'{resident:.1f} MB resident')
+    grown = resident(os.getpid())
+    _say('all together', f'{grown:.1f} MB resident')
 
 
 def _no_revision() -> int:
@@ -162,14 +161,14 @@
     called = sum(calls.values()) - sum(calls_before.values())
     sent = (_gossip_bytes(running) - bytes_before) / size / _WINDOW
     spent = (_processor_seconds(running) - seconds_before) / size / _WINDOW
-    resident = max(_resident(pair.node.pid) for pair in running.pairs)
+    largest = max(resident(pair.node.pid) for pair in running.pairs)
     _say(
         f'{size} nodes',
         f'{called / _WINDOW:.2f} store calls a second,'
         f' {running.store_stats()["watches"]} watches waiting,'
         f' {sent:.0f} B/s gossip sent a node,'
         f' {spent * 100:.2f}% of a core a node,'
-        f' {resident:.1f} MB resident at most,'
+        f' {largest:.1f} MB resident at most,'
         f' change in force after {in_force:.2f} s',
     )
 
@@ -181,21 +180,7 @@
 
 
 def _processor_seconds(running: Deployment) -> float:
-    return sum(_ticks(pair.node.pid) for pair in running.pairs) / (
-        _TICKS_PER_SECOND
-    )
-
-
-def _ticks(pid: int) -> int:
-    text = Path(f'/proc/{pid}/stat').read_text(encoding='ascii')
-    fields = text.rpartition(')')[2].split()
-    return int(fields[11]) + int(fields[12])
-
-
-def _resident(pid: int) -> float:
-    text = Path(f'/proc/{pid}/status').read_text(encoding='ascii')
-    line = text.partition('VmRSS:')[2].split()[0]
-    return int(line) / 1024
+    return sum(processor_seconds(pair.node.pid) for pair in running.pairs)
 
 
 def _say(what: str, found: str) -> None:
