Give a replayed answer the correlation of its own call only

Cause: an answer's header list was shared between the reply and the key's record at a holder that is also the entry node; the correlation header of the first call was appended to both, and a replay had two. Ruled out: the target (its answer had none). Change: the reply gets a list of its own. Figures: test_replayed_answer_names_its_own_call_only before failed (2 headers), after passes (1).

--- a/bluebellsill/gateway.py
+++ b/bluebellsill/gateway.py
@@ -180,8 +180,9 @@
         self._metrics.counts['answered'] += 1
         seconds = self._clock.now() - inbound.received_at
         self._metrics.record(inbound.service_name, inbound.tenant, seconds)
-        outcome.headers.append((_CORRELATION_HEADER, inbound.correlation))
-        reply.send(outcome)
+        # A list of its own: a key's record may share the other one.
+        headers = [*outcome.headers, (_CORRELATION_HEADER, inbound.correlation)]
+        reply.send(Response(outcome.status, headers, outcome.body))
 
     def _log_problem(self, inbound: Inbound, problem: Problem) -> None:
         self._metrics.counts[f'answered_{problem.kind.value}'] += 1
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -4,14 +4,15 @@
 
 import socket
 from collections.abc import Iterator
+from http.client import HTTPConnection, HTTPResponse
 
 import pytest
 from msgspec import json, msgpack
 
 from bluebellsill.http import MAX_BODY, MAX_HEAD
 from bluebellsill.messages import Call, decode, encode
-from demo.harness import TOKEN, Pair, deployment
-from tests.callers import call
+from demo.harness import TOKEN, Pair, deployment, wait_until
+from tests.callers import call, new_key
 
 _TIMEOUT = 5.0  # seconds
 
@@ -153,6 +154,28 @@
     assert call(pair.callers, path, size=size).is_whole
 
 
+def test_replayed_answer_names_its_own_call_only(pair: Pair) -> None:
+    # Keys of the first seconds of a node are not certain.
+    wait_until(lambda: _pay(pair, new_key()).status == 200, 15)
+    key = new_key()
+    first, again = _pay(pair, key), _pay(pair, key)
+    assert (first.status, again.status) == (200, 200)
+    assert again.getheader('idempotency-replayed') == 'true'
+    names = [name.lower() for name, _ in again.getheaders()]
+    assert names.count('bluebellsill-correlation') == 1
+
+
+def _pay(pair: Pair, key: str) -> HTTPResponse:
+    host, _, port = pair.callers.partition(':')
+    connection = HTTPConnection(host, int(port), timeout=_TIMEOUT)
+    headers = {'idempotency-key': key}
+    connection.request('POST', '/bookings/pay', b'', headers)
+    response = connection.getresponse()
+    response.read()
+    connection.close()
+    return response
+
+
 def test_only_its_own_kind_calls_an_inner_service(pair: Pair) -> None:
     head = 'GET /stock-check/x HTTP/1.1'
     from_target = _http(pair.node.listening['target'], head)
