Let calls wait for one usual answer; count every unannounced loss of a holder

Change: a call waits for one usual answer, at least 50 ms, while twice that is left; gone is graceful only after a leave of a higher version; no claims while stale, and stale lasts 5 s instead of 3 without peers, longer than detection; a fault in one task is logged and the others go on. http, operators, node and ctl_command are split; harness and experiments share their starts.

--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 
 check: setup
 	$(BIN)/ruff format --check bluebellsill demo tests
+	$(BIN)/ruff check --quiet --select F,I bluebellsill demo tests
 	$(BIN)/flake8 bluebellsill demo
 	$(BIN)/mypy
 
--- a/bluebellsill/admission.py
+++ b/bluebellsill/admission.py
@@ -9,7 +9,7 @@
 
 __all__ = ('Decision', 'Gate', 'Ticket')
 
-QUEUE_WAIT = 0.05  # seconds that a call waits for a slot at most
+QUEUE_WAIT = 0.05  # seconds that a call may wait however fast answers are
 
 
 @unique
@@ -90,7 +90,7 @@
             if shed.priority >= ticket.priority:
                 return Decision.REFUSE, None
             self._queue.pop()
-        ticket.leaves_queue_at = min(now + QUEUE_WAIT, ticket.expires_at)
+        ticket.leaves_queue_at = now + self._patience(ticket, now)
         self._enqueue(ticket)
         return Decision.WAIT, shed
 
@@ -127,6 +127,17 @@
             self._queue.remove(ticket)
         return expired
 
+    def _patience(self, ticket: Ticket, now: float) -> float:
+        """Return how long waiting makes sense, in seconds.
+
+        A slot is free after about one usual answer. Twice that must be
+        left for the answer itself: a refusal that did not run is better
+        than a call that runs out of time.
+        """
+        usual = self.ramp.latency
+        spare = ticket.expires_at - now - 2 * usual
+        return max(0, min(max(QUEUE_WAIT, usual), spare))
+
     def _start(self, ticket: Ticket, now: float) -> None:
         ticket.started_at = now
         self._running.add(ticket)
--- a/bluebellsill/announcements.py
+++ b/bluebellsill/announcements.py
@@ -8,7 +8,12 @@
 import msgspec
 
 from bluebellsill.errors import ErrorKind, Problem
-from bluebellsill.http import Reply, Request, json_response, problem_response
+from bluebellsill.http import (
+    Request,
+    json_response,
+    problem_response,
+)
+from bluebellsill.http_server import Reply
 from bluebellsill.streams import Address
 from bluebellsill.target_watch import Announcement
 
--- a/bluebellsill/ctl_command.py
+++ b/bluebellsill/ctl_command.py
@@ -4,20 +4,22 @@
 
 import os
 import sys
-import tomllib
-from pathlib import Path
-from typing import Any, NamedTuple
+from typing import Any
 
 from cleo.application import Application
 from cleo.commands.command import Command
 from cleo.helpers import argument, option
 from msgspec import json
-from result import Err
 
 from bluebellsill import __version__
-from bluebellsill._validation import Fault
 from bluebellsill.operator_client import ApiError, OperatorClient
-from bluebellsill.resources import Kind, parse_spec
+from bluebellsill.resource_file import (
+    KIND_NAMES,
+    UsageError,
+    parse_kind,
+    read_resources,
+)
+from bluebellsill.resources import Kind
 
 __all__ = ('main',)
 
@@ -37,19 +39,6 @@
 Exit codes: 0 done, 1 refused by the system, 2 wrong usage or file,
 3 the node cannot be reached, 4 not in force everywhere in time.
 """
-_KINDS = ', '.join(kind.value for kind in Kind)
-
-
-class _Declared(NamedTuple):
-    """A resource as a file declares it."""
-
-    kind: Kind
-    name: str
-    spec: dict[str, Any]
-
-
-class _UsageError(Exception):
-    """The command line or a file is not valid."""
 
 
 class _ApiCommand(Command):
@@ -75,7 +64,7 @@
         """Run the command and turn errors into exit codes."""
         try:
             return self.act(self._client())
-        except _UsageError as error:
+        except UsageError as error:
             self.line_error(str(error))
             return EXIT_USAGE
         except ApiError as error:
@@ -102,11 +91,11 @@
         node = self.option('node') or os.environ.get(_NODE_VARIABLE, '')
         token = self.option('token') or os.environ.get(_TOKEN_VARIABLE, '')
         if not node or not token:
-            raise _UsageError('--node and --token are required')
+            raise UsageError('--node and --token are required')
         try:
             return OperatorClient(node, token)
         except ValueError as error:
-            raise _UsageError(f'--node: {error}') from error
+            raise UsageError(f'--node: {error}') from error
 
 
 _TIMEOUT = option(
@@ -131,7 +120,7 @@
 
     def act(self, client: OperatorClient) -> int:
         """Validate the whole file, then put each resource."""
-        resources = _read_resources(self.option('file') or '')
+        resources = read_resources(self.option('file') or '')
         revision = 0
         for kind, name, spec in resources:
             change = client.put(kind.value, name, spec)
@@ -146,14 +135,14 @@
     name = 'get'
     description = 'Show one resource, or all of a kind.'
     arguments = [
-        argument('kind', f'One of {_KINDS}.'),
+        argument('kind', f'One of {KIND_NAMES}.'),
         argument('name', 'The resource.', optional=True),
     ]
 
     def act(self, client: OperatorClient) -> int:
         """Print the resource or the list."""
         name = self.argument('name')
-        kind = _kind(self.argument('kind'))
+        kind = parse_kind(self.argument('kind'))
         path = f'{kind.value}/{name}' if name else kind.value
         self.show(client.get(path))
         return 0
@@ -163,13 +152,13 @@
     name = 'delete'
     description = 'Delete a declared resource.'
     arguments = [
-        argument('kind', f'One of {_KINDS}.'),
+        argument('kind', f'One of {KIND_NAMES}.'),
         argument('name', 'The resource.'),
     ]
 
     def act(self, client: OperatorClient) -> int:
         """Delete the resource."""
-        kind = _kind(self.argument('kind'))
+        kind = parse_kind(self.argument('kind'))
         change = client.delete(kind.value, self.argument('name'))
         self.line(f'accepted as revision {change["revision"]}')
         return 0
@@ -178,7 +167,7 @@
 class _WatchCommand(_ApiCommand):
     name = 'watch'
     description = 'Print each change of a kind as it comes.'
-    arguments = [argument('kind', f'One of {_KINDS}.')]
+    arguments = [argument('kind', f'One of {KIND_NAMES}.')]
     options = [
         *_ApiCommand.options,
         option('after', None, 'The revision to start after.', flag=False),
@@ -186,7 +175,7 @@
 
     def act(self, client: OperatorClient) -> int:
         """Print JSON lines until interrupted."""
-        kind = _kind(self.argument('kind'))
+        kind = parse_kind(self.argument('kind'))
         after = self.option('after')
         if after is None:
             after = client.get(kind.value)['revision']
@@ -207,7 +196,7 @@
         """Wait for the revision."""
         text = self.argument('revision')
         if not text.isdecimal():
-            raise _UsageError(f'{text!r} is not a revision')
+            raise UsageError(f'{text!r} is not a revision')
         return self.wait(client, int(text))
 
 
@@ -223,9 +212,9 @@
 
     def act(self, client: OperatorClient) -> int:
         """Declare whether the resource is in service."""
-        kind = _kind(self.argument('kind'))
+        kind = parse_kind(self.argument('kind'))
         if kind not in {Kind.AVAILABILITY_ZONE, Kind.TARGET}:
-            raise _UsageError(f'{kind.value} cannot be taken out of service')
+            raise UsageError(f'{kind.value} cannot be taken out of service')
         spec = {'in_service': self.in_service}
         change = client.put(kind.value, self.argument('name'), spec)
         self.line(f'accepted as revision {change["revision"]}')
@@ -256,7 +245,7 @@
         """Declare whether a shift is running."""
         event = self.argument('event')
         if event not in {'start', 'end'}:
-            raise _UsageError(f'{event!r} is neither start nor end')
+            raise UsageError(f'{event!r} is neither start nor end')
         spec = {'running': event == 'start'}
         change = client.put(Kind.SHIFT.value, 'current', spec)
         if self.option('no-wait'):
@@ -297,49 +286,6 @@
     )
 
 
-def _kind(text: str) -> Kind:
-    try:
-        return Kind(text)
-    except ValueError:
-        raise _UsageError(f'{text!r} is none of {_KINDS}') from None
-
-
-def _read_resources(file: str) -> list[_Declared]:
-    if not file:
-        raise _UsageError('--file is required')
-    try:
-        document = tomllib.loads(Path(file).read_text(encoding='utf-8'))
-    except (OSError, tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        raise _UsageError(f'{file}: {error}') from error
-    resources = [
-        _Declared(_kind(kind), name, spec)
-        for kind, by_name in document.items()
-        for name, spec in _table(by_name, kind).items()
-    ]
-    faults = [fault for one in resources for fault in _faults(one)]
-    if faults:
-        raise _UsageError('\n'.join(f'{file}: {fault}' for fault in faults))
-    return resources
-
-
-def _table(found: object, key: str) -> dict[str, Any]:
-    if not isinstance(found, dict):
-        raise _UsageError(f'{key} = {found!r} is not a table')
-    return found
-
-
-def _faults(declared: _Declared) -> list[Fault]:
-    spec = _table(declared.spec, declared.name)
-    parsed = parse_spec(declared.kind, declared.name, spec)
-    if not isinstance(parsed, Err):
-        return []
-    prefix = f'{declared.kind.value}.{declared.name}'
-    return [
-        Fault(f'{prefix}.{fault.key}', fault.found, fault.reason)
-        for fault in parsed.err_value
-    ]
-
-
 def main() -> None:
     """Run the program."""
     application = Application('bluebellsillctl', __version__)
--- a/bluebellsill/freshness.py
+++ b/bluebellsill/freshness.py
@@ -6,7 +6,7 @@
 
 CHECK_PERIOD = 0.1  # seconds
 _PAUSE = 1.5  # seconds between two checks
-_MAX_STALE = 3.0  # seconds
+_MAX_STALE = 5.0  # seconds; members that failed are gone by then
 
 
 class Freshness:
--- a/bluebellsill/gateway.py
+++ b/bluebellsill/gateway.py
@@ -18,7 +18,12 @@
     ServiceFilter,
     run_filters,
 )
-from bluebellsill.http import Reply, Request, Response, problem_response
+from bluebellsill.http import (
+    Request,
+    Response,
+    problem_response,
+)
+from bluebellsill.http_server import Reply
 from bluebellsill.keyed_call import KeyedCall
 from bluebellsill.logs import get_logger
 from bluebellsill.membership import MemberState
--- a/bluebellsill/key_registry.py
+++ b/bluebellsill/key_registry.py
@@ -37,6 +37,7 @@
         links: PeerLinks,
         configuration: Configuration,
         wall_clock: Callable[[], float],
+        is_fresh: Callable[[], bool],
     ) -> None:
         """Create a registry without records.
 
@@ -45,9 +46,11 @@
             links: The connections to them.
             configuration: Tells how many targets a service has.
             wall_clock: Returns seconds since 1970.
+            is_fresh: Returns whether what this node knows is not old.
         """
         self.holder = KeyHolder()
         self._wall_clock = wall_clock
+        self._is_fresh = is_fresh
         self._history = HolderHistory(wall_clock())
         self._configuration = configuration
         self._members = members
@@ -111,7 +114,7 @@
         self.holder.settle(
             settle.key,
             settle.owner,
-            Outcome(settle.outcome),
+            _outcome(settle.outcome),
             answer if settle.outcome == Outcome.ANSWERED else None,
         )
 
@@ -130,23 +133,34 @@
     def _may_grant(self, claim: Claim, now: float) -> bool:
         history = self._history
         return (
-            history.holders(claim.key) == claim.holders
+            self._is_fresh()
+            and history.holders(claim.key) == claim.holders
             and history.has_majority
             and history.is_settled(claim.key, now)
         )
 
     def _on_member_changed(self, known: Member | None, record: Member) -> None:
         service = self._members.own.service
-        if not service:
-            return
-        now = self._wall_clock()
-        if (
-            known is not None
-            and known.service == service
-            and known.state == MemberState.SUSPECT
-            and record.state == MemberState.GONE
-        ):
-            self._history.on_lost(known, now)
         services = {record.service, known.service if known else ''}
-        if service in services:
-            self.observe()
+        if not service or service not in services:
+            return
+        if known is not None and _is_loss(known, record):
+            self._history.on_lost(known, self._wall_clock())
+        self.observe()
+
+
+def _is_loss(known: Member, record: Member) -> bool:
+    """Return whether a member went without taking leave."""
+    if record.state != MemberState.GONE:
+        return False
+    # Only a member itself raises its version, so it has ended its leave.
+    has_left = known.state == MemberState.LEAVING
+    return not has_left or record.version == known.version
+
+
+def _outcome(number: int) -> Outcome:
+    """Return a peer's outcome; one of a later version is unknown."""
+    try:
+        return Outcome(number)
+    except ValueError:
+        return Outcome.UNKNOWN
--- a/bluebellsill/node.py
+++ b/bluebellsill/node.py
@@ -11,6 +11,7 @@
 from circuits import BaseComponent, Event, handler
 from msgspec import json
 
+from bluebellsill._binding import bind_peers
 from bluebellsill._signals import take_stop_signals
 from bluebellsill.announcements import TargetApi
 from bluebellsill.clock import SystemClock
@@ -18,27 +19,25 @@
 from bluebellsill.crash_spread import CrashSpread
 from bluebellsill.errors import ErrorKind
 from bluebellsill.gateway import Gateway
-from bluebellsill.gossip import Gossip
 from bluebellsill.gossip_task import GossipTask
-from bluebellsill.http import HttpServer, Reply, Request
+from bluebellsill.http import (
+    Request,
+)
+from bluebellsill.http_server import HttpServer, Reply
 from bluebellsill.key_registry import KeyRegistry
 from bluebellsill.logs import bind_logs, get_logger
 from bluebellsill.membership import Members, MemberState
 from bluebellsill.messages import (
-    Call,
-    Cancel,
-    Claim,
     CrashReport,
     Hello,
     Member,
-    Message,
     RevisionRequest,
-    Settle,
     ZoneReportRequest,
 )
 from bluebellsill.metrics import Metrics
 from bluebellsill.operators import OperatorApi
-from bluebellsill.peers import PeerConnection, PeerLinks, PeerServer
+from bluebellsill.peer_calls import PeerCalls
+from bluebellsill.peers import PeerLinks
 from bluebellsill.quarantine import Quarantine
 from bluebellsill.reactor import Reactor
 from bluebellsill.reader import ConfigurationReader
@@ -61,7 +60,6 @@
 _OBSERVE_PERIOD = 2.0  # seconds
 _LEAVE_GRACE = 1.0  # seconds in which callers may still arrive
 _DRAIN_PERIOD = 0.05  # seconds
-_PORT_TRIES = 16
 _SEED_BYTES = 8
 _TOKEN_BYTES = 16
 
@@ -161,7 +159,7 @@
 
     def _build_peers(self, settings: Settings) -> None:
         address = Address.parse(settings.listen.peers)
-        self._peer_server, self._gossip = self._bind_peers(address)
+        self._peer_server, self._gossip = bind_peers(self._reactor, address)
         own = Member(
             str(self._peer_server.address),
             int(time() * 1000),
@@ -192,20 +190,6 @@
             self._gossip_task.suspect,
         )
 
-    def _bind_peers(self, address: Address) -> tuple[PeerServer, Gossip]:
-        """Bind the same port for TCP and UDP."""
-        for _ in range(_PORT_TRIES):
-            server = PeerServer(self._reactor, address)
-            try:
-                gossip = Gossip(self._reactor, server.address)
-            except OSError:
-                server.close()
-                if address.port:
-                    raise
-                continue
-            return server, gossip
-        raise OSError(f'no port of {address.host} is free for TCP and UDP')
-
     def _build_control(self, settings: Settings) -> None:
         self._store = HttpStore(
             self._reactor,
@@ -262,6 +246,7 @@
             self._links,
             self._configuration,
             time,
+            lambda: self._gossip_task.is_fresh,
         )
         self._gateway = Gateway(
             self._members,
@@ -290,10 +275,7 @@
             self._on_caller,
         )
         server = self._peer_server
-        server.on(Call, self._on_call)
-        server.on(Cancel, _on_cancel)
-        server.on(Claim, self._on_claim)
-        server.on(Settle, lambda _, settle: self._keys.take_settle(settle))
+        PeerCalls(self._runner, self._keys).serve(server)
         server.on(CrashReport, self._crashes.on_report)
         server.on(RevisionRequest, self._spread.on_request)
         server.on(ZoneReportRequest, self._rollouts.on_request)
@@ -349,19 +331,7 @@
         own = self._members.own
         return Hello(own.id, own.incarnation)
 
-    def _on_call(self, connection: PeerConnection, call: Call) -> None:
-        cancels = connection.on_cancel_by_id
-
-        def respond(reply: Message) -> None:
-            cancels.pop(call.id, None)
-            connection.send(reply)
-
-        run = self._runner.run(call, respond)
-        if run is not None and call.is_idempotent:
-            cancels[call.id] = lambda: self._runner.cancel(run)
-
-    def _on_claim(self, connection: PeerConnection, claim: Claim) -> None:
-        connection.send(self._keys.grant(claim))
+    # State.
 
     def _describe(self) -> dict[str, Any]:
         own = self._members.own
@@ -382,9 +352,3 @@
 
     def _on_caller(self, request: Request, reply: Reply) -> None:
         self._gateway.handle(request, reply, OUTSIDE)
-
-
-def _on_cancel(connection: PeerConnection, cancel: Cancel) -> None:
-    on_cancel = connection.on_cancel_by_id.pop(cancel.id, None)
-    if on_cancel is not None:
-        on_cancel()
--- a/bluebellsill/operators.py
+++ b/bluebellsill/operators.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from http import HTTPStatus
 from os import urandom
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import TYPE_CHECKING, Any
 from urllib.parse import parse_qs, unquote
 
 from msgspec import DecodeError, json
@@ -15,90 +14,30 @@
 from bluebellsill.configuration import Change, Configuration, Draft
 from bluebellsill.errors import ErrorKind, Problem
 from bluebellsill.http import (
-    Reply,
     Request,
     Response,
     json_response,
     problem_response,
 )
+from bluebellsill.http_server import Reply
 from bluebellsill.membership import MemberState
 from bluebellsill.resources import Kind, parse_spec
+from bluebellsill.watches import Watches, change_document
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from bluebellsill.membership import Members
     from bluebellsill.metrics import Metrics
+    from bluebellsill.rollout import RolloutQuery, RolloutStatus
     from bluebellsill.writer import ConfigurationWriter
 
-__all__ = ('OperatorApi', 'RolloutQuery', 'RolloutStatus')
+__all__ = ('OperatorApi',)
 
 _KINDS_BY_PATH = {kind.value: kind for kind in Kind}
 _BEARER = 'Bearer '
 
 
-@dataclass(frozen=True, slots=True)
-class RolloutStatus:
-    """Whether a revision is in force everywhere.
-
-    Attributes:
-        revision: The revision that was asked about.
-        zones: For each availability zone its members, the number that
-            lag, the names of some, and the calls in flight; None where
-            no reader of the zone answered.
-    """
-
-    revision: int
-    zones: dict[str, dict[str, Any] | None]
-
-    @property
-    def is_in_force(self) -> bool:
-        """Whether every member of every zone has the revision."""
-        return all(
-            zone is not None and not zone['lagging']
-            for zone in self.zones.values()
-        )
-
-    def document(self) -> dict[str, Any]:
-        """Return the status as JSON types."""
-        lagging = [
-            name
-            for zone in self.zones.values()
-            if zone
-            for name in zone['examples']
-        ]
-        unreachable = [
-            name for name, zone in self.zones.items() if zone is None
-        ]
-        return {
-            'condition': 'in_force' if self.is_in_force else 'rolling_out',
-            'revision': self.revision,
-            'lagging': lagging,
-            'unreachable_zones': unreachable,
-            'zones': self.zones,
-        }
-
-
-class RolloutQuery(Protocol):
-    """Asks the readers of all zones how far their nodes have come."""
-
-    def ask(
-        self,
-        revision: int,
-        on_done: Callable[[RolloutStatus], None],
-    ) -> None:
-        """Call back with the answers of all zones."""
-
-
-class _Watcher:
-    """An operator's open watch on one kind of resource."""
-
-    def __init__(self, kind: Kind, reply: Reply, revision: int) -> None:
-        self.kind = kind
-        self.reply = reply
-        self.revision = revision
-
-
 class OperatorApi:
     """Answers operators' requests from the configuration in force."""
 
@@ -134,14 +73,13 @@
         self._new_token = new_token
         self._token = token
         self._seed = int.from_bytes(urandom(8), 'big')
-        self._watchers: set[_Watcher] = set()
+        self._watches = Watches(configuration)
         self._pages: dict[str, Callable[[Request, Reply], None]] = {
             'status': self._status,
             'metrics': self._show_metrics,
             'members': self._list_members,
             'node': self._show_node,
         }
-        configuration.subscribe(self._on_configuration_changed)
 
     def handle(self, request: Request, reply: Reply) -> None:
         """Answer one request."""
@@ -165,7 +103,7 @@
 
     def close(self) -> None:
         """End every open watch."""
-        self._watchers.clear()
+        self._watches.close()
 
     def _hash(self, text: str) -> bytes:
         # Hashes with a secret seed, whose comparison tells no prefix.
@@ -190,7 +128,7 @@
         if watch is None:
             reply.send(json_response(HTTPStatus.OK, self._list(kind)))
         elif watch[0].isdecimal():
-            self._watch(kind, int(watch[0]), reply)
+            self._watches.open(kind, int(watch[0]), reply)
         else:
             message = f'watch={watch[0]!r} is not a revision'
             _refuse(reply, ErrorKind.BAD_REQUEST, message)
@@ -238,39 +176,6 @@
         ready = [one for one in live if one.state == MemberState.READY]
         return {'nodes': len(live), 'ready_targets': len(ready)}
 
-    # Watches.
-
-    def _watch(self, kind: Kind, revision: int, reply: Reply) -> None:
-        if self._configuration.changes_after(revision) is None:
-            message = f'changes after revision {revision} are cut off; list'
-            _refuse(reply, ErrorKind.REVISION_EXPIRED, message)
-            return
-        watcher = _Watcher(kind, reply, revision)
-        self._watchers.add(watcher)
-        reply.on_abandoned = lambda: self._watchers.discard(watcher)
-        reply.start_stream()
-        self._notify(watcher)
-
-    def _on_configuration_changed(self) -> None:
-        for watcher in tuple(self._watchers):
-            self._notify(watcher)
-
-    def _notify(self, watcher: _Watcher) -> None:
-        changes = self._configuration.changes_after(watcher.revision)
-        if changes is None:
-            # The watcher must list again; the line says so.
-            watcher.reply.send_line(
-                {
-                    'error': ErrorKind.REVISION_EXPIRED.value,
-                    'revision': self._configuration.revision,
-                }
-            )
-            changes = []
-        watcher.revision = self._configuration.revision
-        for change in changes:
-            if change.kind is watcher.kind:
-                watcher.reply.send_line(_change_document(change))
-
     # Single resources.
 
     def _on_resource(
@@ -355,7 +260,7 @@
             reply.send(self._with_current(done.err_value))
             return
         change = done.ok_value
-        reply.send(json_response(HTTPStatus.OK, _change_document(change)))
+        reply.send(json_response(HTTPStatus.OK, change_document(change)))
 
     def _with_current(self, problem: Problem) -> Response:
         response = problem_response(problem)
@@ -368,9 +273,7 @@
     def _find_write(self, token: str, reply: Reply) -> None:
         for change in self._configuration.changes:
             if change.token == token:
-                response = json_response(
-                    HTTPStatus.OK, _change_document(change)
-                )
+                response = json_response(HTTPStatus.OK, change_document(change))
                 reply.send(response)
                 return
         message = f'no accepted write {token!r} among the newest changes'
@@ -409,15 +312,5 @@
         reply.send(json_response(HTTPStatus.OK, {'items': members}))
 
 
-def _change_document(change: Change) -> dict[str, Any]:
-    return {
-        'revision': change.revision,
-        'token': change.token,
-        'kind': change.kind.value,
-        'name': change.name,
-        'spec': change.spec,
-    }
-
-
 def _refuse(reply: Reply, kind: ErrorKind, message: str) -> None:
     reply.send(problem_response(Problem(kind, message)))
--- /dev/null
+++ b/bluebellsill/peer_calls.py
@@ -0,0 +1,56 @@
+"""Serves the calls and claims that other nodes send to this one."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from bluebellsill.messages import Call, Cancel, Claim, Message, Settle
+
+if TYPE_CHECKING:
+    from bluebellsill.key_registry import KeyRegistry
+    from bluebellsill.peers import PeerConnection, PeerServer
+    from bluebellsill.target_runner import TargetRunner
+
+__all__ = ('PeerCalls',)
+
+
+class PeerCalls:
+    """Runs calls at the target beside this node and grants claims."""
+
+    def __init__(self, runner: TargetRunner, keys: KeyRegistry) -> None:
+        """Serve from a target's runner and this node's keys."""
+        self._runner = runner
+        self._keys = keys
+
+    def serve(self, server: PeerServer) -> None:
+        """Take over the messages of calls and claims."""
+        server.on(Call, self._on_call)
+        server.on(Cancel, self._on_cancel)
+        server.on(Claim, self._on_claim)
+        server.on(Settle, self._on_settle)
+
+    def _on_call(self, connection: PeerConnection, call: Call) -> None:
+        cancels = connection.on_cancel_by_id
+        is_done = False
+
+        def respond(reply: Message) -> None:
+            nonlocal is_done
+            is_done = True
+            cancels.pop(call.id, None)
+            connection.send(reply)
+
+        run = self._runner.run(call, respond)
+        # Only what runs and may be run twice is cancelled with its entry.
+        if run is not None and call.is_idempotent and not is_done:
+            cancels[call.id] = lambda: self._runner.cancel(run)
+
+    def _on_cancel(self, connection: PeerConnection, cancel: Cancel) -> None:
+        on_cancel = connection.on_cancel_by_id.pop(cancel.id, None)
+        if on_cancel is not None:
+            on_cancel()
+
+    def _on_claim(self, connection: PeerConnection, claim: Claim) -> None:
+        connection.send(self._keys.grant(claim))
+
+    def _on_settle(self, connection: PeerConnection, settle: Settle) -> None:
+        self._keys.take_settle(settle)
--- a/bluebellsill/ramp.py
+++ b/bluebellsill/ramp.py
@@ -35,6 +35,11 @@
         self._fast: float = 0
         self._baseline: float = 0
 
+    @property
+    def latency(self) -> float:
+        """The usual time of an answer in seconds, 0 before the first."""
+        return self._baseline
+
     def resize(self, slots: int) -> None:
         """Set what the target bears when warm."""
         self.slots = slots
--- a/bluebellsill/reactor.py
+++ b/bluebellsill/reactor.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 from select import EPOLLIN, EPOLLOUT, epoll
+from traceback import format_exc as trace
 from typing import TYPE_CHECKING, Protocol
 
 from circuits import BaseComponent, handler
 
+from bluebellsill.logs import get_logger
+
 if TYPE_CHECKING:
     from circuits.core.events import generate_events
 
@@ -44,6 +47,7 @@
         super().__init__()
         self.timers = timers
         self._epoll = epoll()
+        self._log = get_logger('reactor')
         self._sources_by_fd: dict[int, Source] = {}
 
     def add(self, source: Source, *, writable: bool = False) -> None:
@@ -86,6 +90,13 @@
         source = self._sources_by_fd.get(fd)
         if source is None:
             return
+        try:
+            self._serve(source, fd, mask)
+        except Exception as error:  # noqa: BLE001
+            # A fault in one task must not keep the others from their turn.
+            self._log.error('task failed', reason=repr(error), trace=trace())
+
+    def _serve(self, source: Source, fd: int, mask: int) -> None:
         if mask & EPOLLOUT:
             source.on_writable()
         # A source that closed itself while writing has been removed.
--- a/bluebellsill/rollout.py
+++ b/bluebellsill/rollout.py
@@ -2,22 +2,76 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, Protocol
 
 from bluebellsill.messages import Applied, ZoneReport
 from bluebellsill.rendezvous import rank
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Callable, Collection
 
     from bluebellsill.messages import Member
 
-__all__ = ('Rollout', 'readers_of')
+__all__ = ('Rollout', 'RolloutQuery', 'RolloutStatus', 'readers_of')
 
 READERS_PER_ZONE = 2
 _MAX_EXAMPLES = 16
 
 
+@dataclass(frozen=True, slots=True)
+class RolloutStatus:
+    """Whether a revision is in force everywhere.
+
+    Attributes:
+        revision: The revision that was asked about.
+        zones: For each availability zone its members, the number that
+            lag, the names of some, and the calls in flight; None where
+            no reader of the zone answered.
+    """
+
+    revision: int
+    zones: dict[str, dict[str, Any] | None]
+
+    @property
+    def is_in_force(self) -> bool:
+        """Whether every member of every zone has the revision."""
+        return all(
+            zone is not None and not zone['lagging']
+            for zone in self.zones.values()
+        )
+
+    def document(self) -> dict[str, Any]:
+        """Return the status as JSON types."""
+        lagging = [
+            name
+            for zone in self.zones.values()
+            if zone
+            for name in zone['examples']
+        ]
+        unreachable = [
+            name for name, zone in self.zones.items() if zone is None
+        ]
+        return {
+            'condition': 'in_force' if self.is_in_force else 'rolling_out',
+            'revision': self.revision,
+            'lagging': lagging,
+            'unreachable_zones': unreachable,
+            'zones': self.zones,
+        }
+
+
+class RolloutQuery(Protocol):
+    """Asks the readers of all zones how far their nodes have come."""
+
+    def ask(
+        self,
+        revision: int,
+        on_done: Callable[[RolloutStatus], None],
+    ) -> None:
+        """Call back with the answers of all zones."""
+
+
 def readers_of(zone: str, member_ids: Collection[str]) -> list[str]:
     """Return the nodes that watch the store for an availability zone.
 
--- a/bluebellsill/rollout_query.py
+++ b/bluebellsill/rollout_query.py
@@ -5,8 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from bluebellsill.messages import ZoneReport, ZoneReportRequest
-from bluebellsill.operators import RolloutStatus
-from bluebellsill.rollout import Rollout, readers_of
+from bluebellsill.rollout import Rollout, RolloutStatus, readers_of
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/demo/harness.py
+++ b/demo/harness.py
@@ -19,7 +19,7 @@
 from bluebellsill.operator_client import OperatorClient
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator, Sequence
+    from collections.abc import Callable, Iterable, Iterator, Sequence
 
 TOKEN = 'demo-token'
 _START_WAIT = 20.0  # seconds
@@ -204,6 +204,52 @@
         log = self.directory / f'target-{self.started}.log'
         pair.target = Process(arguments, log)
 
+    def start_pairs(
+        self,
+        places: Iterable[tuple[str, str]],
+        behaviour: dict[str, Any] | None = None,
+    ) -> None:
+        """Start a node and a target for each zone and service, and wait."""
+        for zone, service in places:
+            self.start_node(zone, service)
+        for pair in self.pairs:
+            pair.node.read_listening()
+            self.start_target(pair, behaviour)
+        for pair in self.pairs:
+            assert pair.target is not None
+            pair.target.read_listening()
+        self.wait_ready()
+
+    def start_load(
+        self,
+        seconds: float,
+        streams: Iterable[dict[str, Any]],
+        seed: int = 1,
+    ) -> subprocess.Popen[bytes]:
+        """Start callers at all nodes and wait until their time begins."""
+        self.started += 1
+        entries = json.dumps([pair.callers for pair in self.pairs])
+        lines = [
+            f'seconds = {seconds}',
+            f'seed = {seed}',
+            f'entries = {entries}',
+        ]
+        for stream in streams:
+            lines.append('[[streams]]')
+            lines.extend(
+                f'{key} = {json.dumps(found)}' for key, found in stream.items()
+            )
+        path = self.directory / f'load-{self.started}.toml'
+        path.write_text('\n'.join(lines), encoding='utf-8')
+        load = subprocess.Popen(
+            [str(_BIN / 'bluebellsill-load'), 'play', '--json', str(path)],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+        )
+        assert load.stderr is not None
+        load.stderr.readline()
+        return load
+
     def of_service(self, service: str) -> list[Pair]:
         """Return the pairs of a service."""
         return [pair for pair in self.pairs if pair.service == service]
@@ -270,6 +316,17 @@
             running.kill()
 
 
+def finish_load(
+    load: subprocess.Popen[bytes], seconds: float
+) -> dict[str, Any]:
+    """Wait for the report of a load."""
+    output, errors = load.communicate(timeout=seconds)
+    if load.returncode:
+        raise RuntimeError(f'load failed: {errors.decode()[-2000:]}')
+    report: dict[str, Any] = json.loads(output)
+    return report
+
+
 def fetch(url: str, document: dict[str, Any] | None = None) -> dict[str, Any]:
     """Get a JSON document, or put one."""
     body = None if document is None else json.dumps(document).encode()
--- a/demo/hot_path.py
+++ b/demo/hot_path.py
@@ -9,13 +9,10 @@
 
 from __future__ import annotations
 
-import json
-import subprocess
 import sys
-from pathlib import Path
 from typing import Any
 
-from demo.harness import Deployment, deployment
+from demo.harness import Deployment, deployment, finish_load
 from demo.processes import processor_seconds, resident
 
 _LAYOUTS = ('abc', 'aaa')
@@ -24,6 +21,7 @@
 _DIRECT_RATE = 60.0  # calls a second
 _WARM_UP = 6.0  # seconds
 _SECONDS = 15.0
+_PATIENCE = 60.0  # seconds beyond the load
 
 
 def main() -> int:
@@ -36,17 +34,9 @@
 
 
 def _measure(running: Deployment, zones: str, rate: float) -> None:
-    for zone in zones:
-        running.start_node(zone, 'catalogue')
-    for pair in running.pairs:
-        pair.node.read_listening()
-        running.start_target(pair, {'slots': _SLOTS})
-    targets: list[str] = []
-    for pair in running.pairs:
-        assert pair.target is not None
-        pair.target.read_listening()
-        targets.append(pair.target.listening)
-    running.wait_ready()
+    places = [(zone, 'catalogue') for zone in zones]
+    running.start_pairs(places, {'slots': _SLOTS})
+    targets = [pair.target.listening for pair in running.pairs if pair.target]
     running.declare({'catalogue': {'slots': _SLOTS}})
     _play(running, _WARM_UP, [{'name': 'warm-up', 'rate': 300}])
     pids = [pair.node.pid for pair in running.pairs]
@@ -74,26 +64,11 @@
     seconds: float,
     streams: list[dict[str, Any]],
 ) -> dict[str, Any]:
-    entries = json.dumps([pair.callers for pair in running.pairs])
-    lines = [f'seconds = {seconds}', f'entries = {entries}']
-    for stream in streams:
-        fields = {'path': _PATH, **stream}
-        lines.append('[[streams]]')
-        lines.extend(
-            f'{key} = {json.dumps(one)}' for key, one in fields.items()
-        )
-    path = running.directory / 'plan.toml'
-    path.write_text('\n'.join(lines), encoding='utf-8')
-    program = Path(sys.executable).parent / 'bluebellsill-load'
-    done = subprocess.run(
-        [str(program), 'play', '--json', str(path)],
-        stdout=subprocess.PIPE,
-        stderr=subprocess.DEVNULL,
-        check=True,
-        timeout=seconds + 60,
+    load = running.start_load(
+        seconds,
+        [{'path': _PATH, **stream} for stream in streams],
     )
-    report: dict[str, Any] = json.loads(done.stdout)
-    return report
+    return finish_load(load, seconds + _PATIENCE)
 
 
 if __name__ == '__main__':
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -85,6 +85,21 @@
     assert gate.expire(QUEUE_WAIT) == [late]
 
 
+def test_waiting_is_worth_one_usual_answer() -> None:
+    gate = Gate(1)
+    gate.ramp.on_answer(0.9, 1)
+    gate.offer(Ticket(0, 9), 0)
+    patient, hurried = Ticket(1, 9), Ticket(2, 2)
+    gate.offer(patient, 0)
+    gate.expire(0.89)
+    assert gate.load == 2
+    assert gate.expire(0.9) == [patient]
+    # Twice the usual time is left for the answer itself.
+    gate.offer(hurried, 0)
+    assert gate.expire(0.19) == []
+    assert gate.expire(0.2 + 1e-9) == [hurried]
+
+
 def test_call_nobody_waits_for_is_refused() -> None:
     assert Gate(6).offer(Ticket(2, 1), 1) == (Decision.REFUSE, None)
 
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -10,7 +10,15 @@
 from msgspec import json, msgpack
 
 from bluebellsill.http import MAX_BODY, MAX_HEAD
-from bluebellsill.messages import Call, decode, encode
+from bluebellsill.messages import (
+    Call,
+    Heartbeat,
+    Hello,
+    Message,
+    Settle,
+    decode,
+    encode,
+)
 from demo.harness import TOKEN, Pair, deployment, wait_until
 from tests.callers import call, new_key
 
@@ -184,6 +192,11 @@
     assert _http(pair.callers, head) == (403, 'forbidden_caller')
 
 
+def _framed(message: Message) -> bytes:
+    payload = encode(message)
+    return len(payload).to_bytes(4, 'big') + payload
+
+
 def _call_message() -> bytes:
     return encode(Call(1, 's', 'GET', '/', [], b'', 9, 1, True, 1, 'c'))
 
@@ -198,6 +211,9 @@
         msgpack.encode([4, 1, 's']),
         b'\x00\x00\x00\x03\xdd\xff\xff',
         b'GET / HTTP/1.1\r\n\r\n',
+        _framed(Settle('k', 'o', 99)),
+        _framed(Hello('nowhere', 1)),
+        _framed(Heartbeat(1)),
     ],
 )
 def test_hostile_peer(pair: Pair, payload: bytes) -> None:
