Split what a service's past members tell from the records of keys

Ruled out: a change of behaviour (moves only). Change: holder_history.py; the unused method is gone.

--- a/bluebellsill/http_server.py
+++ b/bluebellsill/http_server.py
@@ -111,12 +111,6 @@
         self._listener.close()
         self.drain()
 
-    def abort(self) -> None:
-        """Close everything at once."""
-        self._listener.close()
-        for connection in tuple(self._connections):
-            connection.stream.lose('server closed')
-
     @property
     def open_connections(self) -> int:
         """The number of open connections."""
--- a/bluebellsill/key_registry.py
+++ b/bluebellsill/key_registry.py
@@ -6,13 +6,15 @@
 
 from msgspec.structs import replace
 
+from bluebellsill.holder_history import (
+    HolderHistory,
+    holders_of,
+    key_time,
+)
 from bluebellsill.idempotency import (
     ClaimState,
-    HolderHistory,
     KeyHolder,
     Outcome,
-    holders_of,
-    key_time,
 )
 from bluebellsill.membership import MemberState
 from bluebellsill.messages import Claim, ClaimReply, Settle
--- a/tests/keyed_world.py
+++ b/tests/keyed_world.py
@@ -7,15 +7,17 @@
 from random import Random
 from uuid import UUID
 
-from bluebellsill.idempotency import (
+from bluebellsill.holder_history import (
     FENCE,
-    ClaimState,
     HolderHistory,
-    KeyHolder,
-    Outcome,
     holders_of,
     key_time,
 )
+from bluebellsill.idempotency import (
+    ClaimState,
+    KeyHolder,
+    Outcome,
+)
 from bluebellsill.membership import MemberState
 from bluebellsill.messages import Member
 
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -6,16 +6,18 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from bluebellsill.idempotency import (
+from bluebellsill.holder_history import (
     FENCE,
-    MAX_KEPT_BODY,
     RETENTION,
     Certainty,
-    ClaimState,
     HolderHistory,
+    key_time,
+)
+from bluebellsill.idempotency import (
+    MAX_KEPT_BODY,
+    ClaimState,
     KeyHolder,
     Outcome,
-    key_time,
 )
 from tests.keyed_world import DETECTION, World
 
--- a/tests/test_key_registry.py
+++ b/tests/test_key_registry.py
@@ -9,7 +9,13 @@
 from msgspec.structs import replace
 
 from bluebellsill.configuration import Configuration
-from bluebellsill.idempotency import FENCE, SETTLE, ClaimState
+from bluebellsill.holder_history import (
+    FENCE,
+    SETTLE,
+)
+from bluebellsill.idempotency import (
+    ClaimState,
+)
 from bluebellsill.key_registry import KeyRegistry
 from bluebellsill.membership import Members, MemberState
 from bluebellsill.messages import Claim, Member
