Tell a crash before any retry; lower a limit only for a jump, and once

The ramp compared a fast average with a slow one: when calls of 300 ms followed calls of a few ms, each answer halved the limit again, down to 1 of 6. A jump is a streak of slow answers too long for the usual share of slow ones; it halves the limit once and moves the usual level.

--- a/bluebellsill/calls.py
+++ b/bluebellsill/calls.py
@@ -116,7 +116,13 @@
             )
         elif isinstance(reply, Failure):
             message = f'target beside {self._node_id} gave no whole answer'
-            self._act(self.dispatch.on_failure(_kind(reply.kind), message))
+            self._act(
+                self.dispatch.on_failure(
+                    _kind(reply.kind),
+                    message,
+                    has_crashed=reply.has_crashed,
+                ),
+            )
         elif reply.is_sent:
             message = f'connection to {self._node_id} lost: {reply.reason}'
             kind = ErrorKind.TARGET_FAILED
--- a/bluebellsill/dispatch.py
+++ b/bluebellsill/dispatch.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from bluebellsill.errors import ANSWERS_BY_KIND, ErrorKind, Problem, Run
+from bluebellsill.quarantine import MAX_CRASHES
 
 if TYPE_CHECKING:
     from bluebellsill.clock import Clock
@@ -69,6 +70,7 @@
         self._tried: list[str] = []
         self._view: TargetView | None = None
         self._sent_at: float = 0
+        self._crashes = 0
         self.may_have_run = False
 
     def start(self) -> Place | Problem:
@@ -124,9 +126,22 @@
             return self._final(problem)
         return self._place(problem)
 
-    def on_failure(self, kind: ErrorKind, message: str) -> Place | Problem:
-        """Take in a failure after which the target may have run the call."""
+    def on_failure(
+        self,
+        kind: ErrorKind,
+        message: str,
+        *,
+        has_crashed: bool = False,
+    ) -> Place | Problem:
+        """Take in a failure after which the target may have run the call.
+
+        Args:
+            kind: What became of the try.
+            message: The same for a person.
+            has_crashed: Whether the target has crashed with the call.
+        """
         self.may_have_run = True
+        self._crashes += has_crashed
         view = self._end_try()
         now = self._clock.now()
         if view is not None:
@@ -135,6 +150,8 @@
         problem = Problem(kind, message)
         if not self._is_idempotent:
             return Problem(ErrorKind.OUTCOME_UNKNOWN, message)
+        if self._crashes >= MAX_CRASHES:
+            return problem
         if not self._budget.take(was_dispatched=True):
             return problem
         return self._place(problem)
--- a/bluebellsill/messages.py
+++ b/bluebellsill/messages.py
@@ -139,7 +139,13 @@
 
 
 class Failure(_Message, frozen=True, tag=7):
-    """The target got the call, but gave no whole answer."""
+    """The target got the call, but gave no whole answer.
+
+    Attributes:
+        id: Names the call on its connection.
+        kind: The error kind.
+        has_crashed: Whether the target has crashed with the call.
+    """
 
     id: int
     kind: str
--- a/bluebellsill/ramp.py
+++ b/bluebellsill/ramp.py
@@ -2,15 +2,13 @@
 
 from __future__ import annotations
 
+from bluebellsill.level import Level
+
 __all__ = ('Ramp',)
 
 _COLD_LIMIT = 1
 _ANSWERS_FOR_STEP = 8  # for each step, times the limit
 _SPARE_WEIGHT = 0.25  # of an answer while the limit was not used up
-_FAST_WEIGHT = 0.3
-_BASELINE_RISE = 0.01
-_BASELINE_FALL = 0.2
-_SLOW_FACTOR = 3
 _LATENCY_FLOOR = 0.002  # seconds; below it, jitter hides the trend
 
 
@@ -32,13 +30,12 @@
         self.slots = slots
         self.limit = _COLD_LIMIT
         self._answers: float = 0
-        self._fast: float = 0
-        self._baseline: float = 0
+        self._level = Level()
 
     @property
     def latency(self) -> float:
         """The usual time of an answer in seconds, 0 before the first."""
-        return self._baseline
+        return self._level.usual
 
     def resize(self, slots: int) -> None:
         """Set what the target bears when warm."""
@@ -49,8 +46,7 @@
         """Start cold again: the target is new, has restarted or crashed."""
         self.limit = _COLD_LIMIT
         self._answers = 0
-        self._fast = 0
-        self._baseline = 0
+        self._level = Level()
 
     def on_shed(self) -> None:
         """Halve the limit: the target said that it bears no more."""
@@ -64,24 +60,11 @@
             latency: Seconds from the dispatch to the whole answer.
             in_flight: Requests that ran at the time, this one included.
         """
-        self._observe(max(latency, _LATENCY_FLOOR))
-        if self._fast > _SLOW_FACTOR * self._baseline:
+        if self._level.observe(max(latency, _LATENCY_FLOOR)):
             self.on_shed()
-            # Halve once for one jump, then judge by the new level.
-            self._fast = self._baseline
             return
         # A target with spare room proves less about a higher limit.
         self._answers += 1 if in_flight >= self.limit else _SPARE_WEIGHT
         if self._answers >= _ANSWERS_FOR_STEP * self.limit:
             self._answers = 0
             self.limit = min(self.slots, self.limit + 1)
-
-    def _observe(self, latency: float) -> None:
-        if not self._baseline:
-            self._fast = latency
-            self._baseline = latency
-            return
-        self._fast += _FAST_WEIGHT * (latency - self._fast)
-        is_faster = latency < self._baseline
-        share = _BASELINE_FALL if is_faster else _BASELINE_RISE
-        self._baseline += share * (latency - self._baseline)
--- a/bluebellsill/target_runner.py
+++ b/bluebellsill/target_runner.py
@@ -268,8 +268,13 @@
             return
         running = [one.call.fingerprint for one in self._running_with(run)]
         self.gate.ramp.on_shed()
-        self._watch.on_loss(running)
-        run.respond(Failure(call.id, ErrorKind.TARGET_FAILED.value, True))
+        # The answer waits until the other nodes have been told of a crash.
+        self._watch.on_loss(
+            running,
+            lambda has_crashed: run.respond(
+                Failure(call.id, ErrorKind.TARGET_FAILED.value, has_crashed),
+            ),
+        )
 
     def _running_with(self, run: Run) -> list[Run]:
         others = [
--- a/bluebellsill/target_watch.py
+++ b/bluebellsill/target_watch.py
@@ -2,19 +2,19 @@
 
 from __future__ import annotations
 
-from collections import deque
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
 from msgspec import Struct
 from result import Err, Result
 
+from bluebellsill._connect_check import ConnectCheck
 from bluebellsill.http import Request, Response
 from bluebellsill.http_client import HttpFailure, HttpPool
 from bluebellsill.logs import get_logger
+from bluebellsill.losses import Loss, Losses
 from bluebellsill.probing import ProbeBudget
 from bluebellsill.resources import Service
-from bluebellsill.streams import Address, Stream
+from bluebellsill.streams import Address
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -26,8 +26,6 @@
 
 ANNOUNCEMENT_LIFETIME = 3.0  # seconds
 _CHECK_PERIOD = 0.1  # seconds
-_MAX_LOSSES = 16
-_LOSS_MEMORY = 5.0  # seconds
 _QUIET_BEFORE_PROBE = 1.0  # seconds without an answer
 _PROBE_TIMEOUT = 1.0  # seconds
 _MAX_FAILED_PROBES = 2
@@ -65,14 +63,6 @@
         """The target has crashed with requests in flight."""
 
 
-@dataclass(frozen=True, slots=True)
-class _Loss:
-    """A connection that ended before its answer, and what ran beside it."""
-
-    at: float
-    fingerprints: list[int]
-
-
 class TargetWatch:
     """Follows a target by its announcements, its answers and probes."""
 
@@ -91,9 +81,9 @@
         self._metrics = metrics
         self._announced_at: float = 0
         self._answered_at: float = 0
-        self._losses: deque[_Loss] = deque(maxlen=_MAX_LOSSES)
+        self._losses = Losses()
         self._is_probing = False
-        self._is_connecting = False
+        self._connect_check: ConnectCheck | None = None
         self._probe_budget: ProbeBudget | None = None
         self._failed_probes = 0
         self._log = get_logger('target')
@@ -127,21 +117,34 @@
         self._answered_at = self._clock.now()
         self._failed_probes = 0
 
-    def on_loss(self, fingerprints: list[int]) -> None:
+    def on_loss(
+        self,
+        fingerprints: list[int],
+        on_known: Callable[[bool], None],
+    ) -> None:
         """A connection was lost while requests were in flight.
 
         Args:
             fingerprints: What ran at the time.
+            on_known: Called once with whether the target has crashed,
+                after the other nodes have been told of a crash.
         """
-        self._losses.append(_Loss(self._clock.now(), fingerprints))
+        now = self._clock.now()
+        self._losses.add(Loss(now, fingerprints, on_known))
         self.check_soon()
 
     def check_soon(self) -> None:
         """Look whether the target still accepts connections."""
-        if self._is_connecting or self.pool is None:
-            return
-        self._is_connecting = True
-        _ConnectCheck(self._reactor, self.pool.address, self._on_checked)
+        if self.pool is None:
+            self._losses.tell_alive()
+        elif self._connect_check is None:
+            self._connect_check = ConnectCheck(
+                self._reactor,
+                self.pool.address,
+                self._on_checked,
+            )
+        else:
+            self._connect_check.extend()
 
     def close(self) -> None:
         """Close every connection to the target."""
@@ -149,8 +152,9 @@
             self.pool.close()
 
     def _on_started(self, announcement: Announcement) -> None:
-        self._confirm_crash()
+        # What is in flight was at the former start of the target.
         self.close()
+        self._confirm_crash()
         address = Address.parse(announcement.address)
         self.pool = HttpPool(self._reactor, address)
         self.on_answer()
@@ -193,55 +197,32 @@
         if is_refused or self._failed_probes >= _MAX_FAILED_PROBES:
             self._lose(f'probe failed: {done.err_value.reason}')
 
-    def _on_checked(self, accepts: bool) -> None:  # noqa: FBT001
-        self._is_connecting = False
-        if not accepts:
+    def _on_checked(self, is_there: bool) -> None:  # noqa: FBT001
+        self._connect_check = None
+        if is_there:
+            self._losses.tell_alive()
+        else:
             self._lose('connection refused')
 
     def _lose(self, reason: str) -> None:
+        self._confirm_crash()
         if self.announcement is None:
             return
         self._log.warning('target lost', reason=reason)
-        self._confirm_crash()
         self.announcement = None
         self._owner.on_target_cold()
         self._owner.on_target_changed()
 
     def _confirm_crash(self) -> None:
         """Report what was in flight when connections were lost of late."""
+        if self._connect_check is not None:
+            self._connect_check.cancel()
+            self._connect_check = None
         now = self._clock.now()
-        fingerprints = {
-            fingerprint
-            for loss in self._losses
-            if now - loss.at < _LOSS_MEMORY
-            for fingerprint in loss.fingerprints
-        }
-        self._losses.clear()
+        losses = self._losses.take(now)
+        fingerprints = {one for loss in losses for one in loss.fingerprints}
         if fingerprints and self.pool is not None:
             crash_id = f'{self.pool.address}@{now:.3f}'
             self._owner.on_crash(crash_id, sorted(fingerprints))
-
-
-class _ConnectCheck:
-    """Opens a connection and closes it at once."""
-
-    def __init__(
-        self,
-        reactor: Reactor,
-        address: Address,
-        on_done: Callable[[bool], None],
-    ) -> None:
-        self._on_done = on_done
-        self._stream = Stream.connect(reactor, address, self)
-
-    def on_connected(self) -> None:
-        """Report that the target accepts connections."""
-        self._stream.close()
-        self._on_done(True)  # noqa: FBT003
-
-    def on_bytes(self, chunk: bytes) -> None:
-        """Do nothing: the connection is closed once established."""
-
-    def on_lost(self, reason: str) -> None:
-        """Report that the target accepts no connections."""
-        self._on_done(False)  # noqa: FBT003
+        for loss in losses:
+            loss.tell(has_crashed=True)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from random import Random
+
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -171,3 +173,47 @@
     assert quarantine.is_refused(7, 0)
     assert not quarantine.is_refused(8, 0)
     assert not quarantine.is_refused(7, 3600)
+
+
+def test_heavy_requests_that_are_usual_keep_the_limit() -> None:
+    ramp = Ramp(_SLOTS)
+    _warm(ramp)
+    random = Random(1)
+    limits = []
+    for _ in range(1400):
+        ramp.on_answer(0.2 if random.random() < 0.1 else 0.01, _SLOTS)
+        limits.append(ramp.limit)
+    # They may be taken for a slow target until their share is known.
+    assert min(limits) >= _SLOTS // 2
+    assert min(limits[400:]) == _SLOTS
+
+
+def test_widely_spread_answers_seldom_lower_the_limit() -> None:
+    ramp = Ramp(_SLOTS)
+    _warm(ramp)
+    random = Random(1)
+    limits = []
+    for _ in range(1000):
+        ramp.on_answer(random.lognormvariate(0, 1) / 100, _SLOTS)
+        limits.append(ramp.limit)
+    assert sum(limits) > 0.9 * _SLOTS * len(limits)
+
+
+def test_requests_that_take_longer_lower_the_limit_once() -> None:
+    ramp = Ramp(_SLOTS)
+    _warm(ramp)
+    limits = []
+    for _ in range(200):
+        ramp.on_answer(0.3, _SLOTS)
+        limits.append(ramp.limit)
+    assert min(limits) == _SLOTS // 2
+    assert limits[-1] == _SLOTS
+
+
+def test_usual_answer_follows_requests_that_take_less() -> None:
+    ramp = Ramp(_SLOTS)
+    _warm(ramp)
+    for _ in range(8):
+        ramp.on_answer(0.003, _SLOTS)
+    assert ramp.latency == 0.003
+    assert ramp.limit == _SLOTS
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -13,6 +13,7 @@
 from bluebellsill.errors import ErrorKind, Problem, Run
 from bluebellsill.membership import MemberState
 from bluebellsill.messages import Member
+from bluebellsill.quarantine import MAX_CRASHES
 from bluebellsill.retries import RetryBudget
 from bluebellsill.routing import Router
 
@@ -115,6 +116,21 @@
     assert retried <= 210
 
 
+def test_call_that_crashes_targets_is_tried_at_two() -> None:
+    dispatch = _dispatch(ManualClock(), is_idempotent=True)
+    decision = dispatch.start()
+    tries = 0
+    while isinstance(decision, Place):
+        tries += 1
+        decision = dispatch.on_failure(
+            ErrorKind.TARGET_FAILED,
+            'lost',
+            has_crashed=True,
+        )
+    assert tries == MAX_CRASHES
+    assert decision.answer.run is Run.UNKNOWN
+
+
 def test_try_keeps_half_of_the_time_for_another() -> None:
     clock = ManualClock(1)
     router = _router()
