--- a/bluebellsill/crash_spread.py
+++ b/bluebellsill/crash_spread.py
@@ -30,9 +30,16 @@
         self._quarantine = quarantine
         self._log = get_logger('crashes')
 
-    def on_crash(self, crash_id: str, fingerprints: list[int]) -> None:
-        """Count a crash here and at the other nodes of the service."""
+    def on_crash(self, start_id: str, fingerprints: list[int]) -> None:
+        """Count a crash here and at the other nodes of the service.
+
+        Args:
+            start_id: Which start of the target beside this node crashed.
+            fingerprints: What was in flight.
+        """
         now = self._links.now()
+        # Targets may have the same address and start id, each on its VM.
+        crash_id = f'{self._members.own.id}/{start_id}'
         self._quarantine.on_crash(crash_id, fingerprints, now)
         self._log.warning('target crashed', in_flight=len(fingerprints))
         self._send(CrashReport(crash_id, fingerprints, []))
--- a/bluebellsill/node.py
+++ b/bluebellsill/node.py
@@ -13,16 +13,14 @@
 
 from bluebellsill._binding import bind_peers
 from bluebellsill._signals import take_stop_signals
+from bluebellsill.acceptance import Acceptance
 from bluebellsill.announcements import TargetApi
 from bluebellsill.clock import SystemClock
 from bluebellsill.configuration import Configuration
 from bluebellsill.crash_spread import CrashSpread
-from bluebellsill.errors import ErrorKind
 from bluebellsill.gateway import Gateway
 from bluebellsill.gossip_task import GossipTask
-from bluebellsill.http import (
-    Request,
-)
+from bluebellsill.http import Request
 from bluebellsill.http_server import HttpServer, Reply
 from bluebellsill.key_registry import KeyRegistry
 from bluebellsill.logs import bind_logs, get_logger
@@ -53,6 +51,7 @@
 from bluebellsill.writer import ConfigurationWriter
 
 if TYPE_CHECKING:
+    from bluebellsill.errors import ErrorKind
     from bluebellsill.settings import Settings
 
 __all__ = ('Node',)
@@ -92,7 +91,6 @@
         self._metrics = Metrics()
         self._quarantine = Quarantine()
         self._rollout = Rollout()
-        self._is_leaving = False
         self._drain_until: float = 0
         self._build_peers(settings)
         self._build_control(settings)
@@ -116,18 +114,9 @@
 
     # The target runner asks these.
 
-    def refusal(self, service: str) -> ErrorKind | None:
+    def refusal(self) -> ErrorKind | None:
         """Return why new work is refused at this node, if it is."""
-        own = self._members.own
-        if self._configuration.is_zone_out(own.zone):
-            return ErrorKind.ZONE_OUT
-        if self._configuration.is_target_out(own.id):
-            return ErrorKind.TARGET_OUT
-        if self._is_leaving:
-            return ErrorKind.LEAVING
-        if not self._gossip_task.is_fresh:
-            return ErrorKind.STALE
-        return None
+        return self._acceptance.refusal()
 
     def service_of(self, name: str) -> Service | None:
         """Return a declared service."""
@@ -136,7 +125,7 @@
     def on_target_changed(self) -> None:
         """Tell the others whether a target is ready here."""
         announcement = self._runner.announcement
-        if self._is_leaving:
+        if self._acceptance.is_leaving:
             return
         if announcement is None:
             # The service stays: this node still holds keys of it.
@@ -147,9 +136,9 @@
             self._members.restate(state=state, service=announcement.service)
         self._gossip_task.push()
 
-    def on_crash(self, crash_id: str, fingerprints: list[int]) -> None:
+    def on_crash(self, start_id: str, fingerprints: list[int]) -> None:
         """Tell the other nodes of the service of a crash."""
-        self._crashes.on_crash(crash_id, fingerprints)
+        self._crashes.on_crash(start_id, fingerprints)
 
     def on_cleared(self, fingerprint: int) -> None:
         """Tell the other nodes of the service that a suspect was answered."""
@@ -183,6 +172,11 @@
             self._timers,
             lambda: self._runner.in_flight,
         )
+        self._acceptance = Acceptance(
+            self._members,
+            self._configuration,
+            lambda: self._gossip_task.is_fresh,
+        )
         self._gossip.on_message = self._gossip_task.on_message
         self._links = PeerLinks(
             self._reactor,
@@ -295,7 +289,7 @@
     def _leave(self) -> None:
         """Begin the graceful shutdown."""
         self._log.info('leaving')
-        self._is_leaving = True
+        self._acceptance.is_leaving = True
         self._reader.stop()
         self._members.restate(state=MemberState.LEAVING)
         self._gossip_task.push()
--- a/bluebellsill/standin_target.py
+++ b/bluebellsill/standin_target.py
@@ -6,11 +6,11 @@
 from collections import Counter
 from http import HTTPStatus
 from random import Random
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Annotated, Any
 from urllib.parse import parse_qs
 
 from circuits import BaseComponent
-from msgspec import DecodeError, Struct, ValidationError, json
+from msgspec import DecodeError, Meta, Struct, ValidationError, json
 from msgspec.structs import replace
 
 from bluebellsill.announcements import ANNOUNCE_PATH
@@ -23,15 +23,17 @@
 from bluebellsill.http_client import HttpPool
 from bluebellsill.http_server import HttpServer, Reply
 from bluebellsill.reactor import Reactor
+from bluebellsill.streams import Address
 from bluebellsill.target_watch import Announcement
 from bluebellsill.timers import TimerService
 
 if TYPE_CHECKING:
-    from bluebellsill.streams import Address
+    from collections.abc import Callable
 
 __all__ = ('Behaviour', 'StandInTarget')
 
 _ANNOUNCE_PERIOD = 1.0  # seconds
+_LEDGER_TIMEOUT = 5.0  # seconds
 _ANNOUNCE_TIMEOUT = 0.9  # seconds
 _LEAVE_PERIOD = 0.1  # seconds
 _PROBE_SECONDS = 0.006
@@ -57,6 +59,7 @@
         cuts_body: Whether answers end before their stated length.
         health: The status of the health report, true or not.
         crashes_when_cold: Whether too much work crashes a cold target.
+        ledger: Where each order is noted as it takes effect, or empty.
     """
 
     service_ms: float = 10
@@ -67,6 +70,7 @@
     cuts_body: bool = False
     health: int = HTTPStatus.OK.value
     crashes_when_cold: bool = False
+    ledger: Annotated[str, Meta(pattern=r'^([0-9.]{7,15}:[0-9]{1,5})?$')] = ''
 
 
 class StandInTarget(BaseComponent):
@@ -186,7 +190,23 @@
         key = request.header('x-order')
         if key:
             self._runs_by_key[key] += 1
-        self._run(request, options, reply)
+        if key and behaviour.ledger:
+            self._note(key, lambda: self._run(request, options, reply))
+        else:
+            self._run(request, options, reply)
+
+    def _note(self, order: str, then: Callable[[], None]) -> None:
+        """Let an order take effect at the ledger, then go on."""
+        address = Address.parse(self._behaviour.ledger)
+        note = Request('POST', f'/{order}', [('host', str(address))])
+        pool = HttpPool(self.reactor, address)
+
+        def on_noted(done: Any) -> None:
+            pool.close()
+            if done.is_ok():
+                then()
+
+        pool.request(note, _LEDGER_TIMEOUT, on_noted)
 
     def _run(
         self,
--- a/bluebellsill/target_runner.py
+++ b/bluebellsill/target_runner.py
@@ -28,7 +28,7 @@
 class TargetOwner(Protocol):
     """What the runner asks of the node that it is part of."""
 
-    def refusal(self, service: str) -> ErrorKind | None:
+    def refusal(self) -> ErrorKind | None:
         """Return why new work is refused at this node, if it is."""
 
     def service_of(self, name: str) -> Service | None:
@@ -37,8 +37,8 @@
     def on_target_changed(self) -> None:
         """The target has come, is leaving or has gone."""
 
-    def on_crash(self, crash_id: str, fingerprints: list[int]) -> None:
-        """The target has crashed with requests in flight."""
+    def on_crash(self, start_id: str, fingerprints: list[int]) -> None:
+        """A start of the target has crashed with requests in flight."""
 
     def on_cleared(self, fingerprint: int) -> None:
         """A suspected request has been answered."""
@@ -111,9 +111,9 @@
         """Pass the news on."""
         self._owner.on_target_changed()
 
-    def on_crash(self, crash_id: str, fingerprints: list[int]) -> None:
+    def on_crash(self, start_id: str, fingerprints: list[int]) -> None:
         """Pass a crash on."""
-        self._owner.on_crash(crash_id, fingerprints)
+        self._owner.on_crash(start_id, fingerprints)
 
     # Calls.
 
@@ -187,7 +187,7 @@
             return ErrorKind.QUARANTINED
         if call.budget_ms <= 0:
             return ErrorKind.EXPIRED
-        return self._owner.refusal(call.service)
+        return self._owner.refusal()
 
     def _refuse(self, call: Call, kind: ErrorKind) -> Refusal:
         self._metrics.counts[f'refused_{kind.value}'] += 1
--- a/bluebellsill/target_watch.py
+++ b/bluebellsill/target_watch.py
@@ -59,8 +59,8 @@
     def on_target_changed(self) -> None:
         """The target has come, is leaving or has gone."""
 
-    def on_crash(self, crash_id: str, fingerprints: list[int]) -> None:
-        """The target has crashed with requests in flight."""
+    def on_crash(self, start_id: str, fingerprints: list[int]) -> None:
+        """A start of the target has crashed with requests in flight."""
 
 
 class TargetWatch:
@@ -79,6 +79,7 @@
         self._clock = reactor.timers.clock
         self._owner = owner
         self._metrics = metrics
+        self._start_id = ''
         self._announced_at: float = 0
         self._answered_at: float = 0
         self._losses = Losses()
@@ -155,6 +156,7 @@
         # What is in flight was at the former start of the target.
         self.close()
         self._confirm_crash()
+        self._start_id = announcement.start_id
         address = Address.parse(announcement.address)
         self.pool = HttpPool(self._reactor, address)
         self.on_answer()
@@ -222,7 +224,6 @@
         losses = self._losses.take(now)
         fingerprints = {one for loss in losses for one in loss.fingerprints}
         if fingerprints and self.pool is not None:
-            crash_id = f'{self.pool.address}@{now:.3f}'
-            self._owner.on_crash(crash_id, sorted(fingerprints))
+            self._owner.on_crash(self._start_id, sorted(fingerprints))
         for loss in losses:
             loss.tell(has_crashed=True)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -12,3 +12,5 @@
     suppress_health_check=[HealthCheck.too_slow],
 )
 settings.load_profile('same')
+
+pytest_plugins = ['tests.proof_steps']
--- /dev/null
+++ b/tests/test_proof_payments.py
@@ -0,0 +1,178 @@
+"""A payment runs at most once."""
+
+from __future__ import annotations
+
+import signal
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from functools import partial
+from time import sleep
+
+import pytest
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from bluebellsill.rendezvous import rank
+from demo.harness import Pair, wait_until
+from demo.ledger import Ledger, ledger
+from tests.callers import new_key
+from tests.world import CERTAIN, MAX_WAIT, World, pay, requests
+
+scenarios('features/payments.feature')
+
+
+@pytest.fixture
+def book() -> Iterator[Ledger]:
+    with ledger() as found:
+        yield found
+
+
+@given('callers that pay with keys, again until they know')
+def start_paying_callers(world: World) -> None:
+    # Keys of the first seconds of a deployment are not certain.
+    sleep(CERTAIN)
+    world.start_callers('/bookings/pay', posts=True)
+
+
+@when('a node is killed')
+def kill_node(world: World) -> None:
+    world.remove_entry(world.running.pairs[-1])
+    world.running.pairs[-1].node.kill()
+
+
+@when('another node is frozen for 2 seconds')
+def freeze_shortly(world: World) -> None:
+    node = world.running.pairs[1].node
+    node.send(signal.SIGSTOP)
+    sleep(2)
+    node.send(signal.SIGCONT)
+
+
+@when(parsers.parse('{count:d} payments are each sent through 3 nodes at once'))
+def pay_at_once(world: World, count: int) -> None:
+    # Keys of the first seconds of a deployment are not certain.
+    sleep(CERTAIN)
+    entries = [pair.callers for pair in world.running.pairs[:3]]
+    with ThreadPoolExecutor(len(entries)) as pool:
+        for _ in range(count):
+            key = new_key()
+            world.outcomes += pool.map(partial(pay, key), entries)
+
+
+@when(
+    parsers.parse('a target is killed while it runs a payment of {ms:d} ms'),
+)
+def kill_target(world: World, ms: int) -> None:
+    sleep(CERTAIN)
+    key = new_key()
+    entry = world.operator().callers
+    send = partial(pay, key, entry, f'/bookings/pay?ms={ms}')
+    with ThreadPoolExecutor(1) as pool:
+        first = pool.submit(send)
+        wait_until(lambda: world.count('requests') == 1, MAX_WAIT)
+        for pair in world.running.pairs:
+            if requests(pair):
+                assert pair.target is not None
+                pair.target.kill()
+        world.outcomes.append(first.result())
+    world.outcomes += [send() for _ in range(3)]
+
+
+@given(
+    parsers.parse(
+        '{count:d} bookings targets over the zones {zones},'
+        ' whose orders a ledger counts',
+    ),
+)
+def start_with_ledger(
+    world: World,
+    book: Ledger,
+    count: int,
+    zones: str,
+) -> None:
+    world.start(count, zones, {'ledger': book.address})
+    sleep(CERTAIN)
+
+
+@when(
+    parsers.parse(
+        'the {one} and the {other} of a payment of {ms:d} ms are killed',
+    ),
+)
+def kill_together(world: World, one: str, other: str, ms: int) -> None:
+    entry = world.running.pairs[0]
+    world.key, first_holder = _key_held_elsewhere(world, entry)
+    world.path = f'/bookings/pay?ms={ms}'
+    with ThreadPoolExecutor(1) as pool:
+        first = pool.submit(pay, world.key, entry.callers, world.path)
+        wait_until(lambda: world.count('requests') == 1, MAX_WAIT)
+        (runner,) = [pair for pair in world.running.pairs if requests(pair)]
+        processes = {
+            'entry node': entry.node,
+            'first holder': first_holder.node,
+            'node of the target': runner.node,
+            'target': runner.target,
+        }
+        for name in (one, other):
+            processes[name].kill()
+        world.outcomes.append(first.result())
+
+
+def _key_held_elsewhere(world: World, entry: Pair) -> tuple[str, Pair]:
+    """Return a key that the entry node does not hold, and who does."""
+    by_id = {pair.id: pair for pair in world.running.pairs}
+    while True:
+        key = new_key()
+        holders = rank(f'outside\0bookings\0{key}', by_id, 2)
+        if entry.id not in holders:
+            return key, by_id[holders[0]]
+
+
+@when(
+    parsers.parse('its key is sent through the others for {seconds:d} seconds'),
+)
+def send_again(world: World, seconds: int) -> None:
+    others = [pair for pair in world.running.pairs if not pair.node.has_ended]
+    for turn in range(seconds * 4):
+        entry = others[turn % len(others)].callers
+        world.outcomes.append(pay(world.key, entry, world.path))
+        sleep(0.25)
+
+
+@then('it has taken effect once')
+def took_effect_once(world: World, book: Ledger) -> None:
+    assert book.runs(world.key) == 1
+
+
+@then('nobody was told that it had not run')
+def none_told_not_run(world: World) -> None:
+    assert [one for one in world.outcomes if one.run == 'not-run'] == []
+
+
+@then('the payment is answered as unknown, also when it is sent again')
+def is_unknown(world: World) -> None:
+    kinds = {one.kind for one in world.outcomes}
+    assert kinds == {'outcome_unknown'}
+    assert {one.run for one in world.outcomes} == {'unknown'}
+
+
+@then('no payment ran twice')
+def none_twice(world: World) -> None:
+    world.all_outcomes()
+    runs = _runs(world)
+    assert [key for key, count in runs.items() if count > 1] == []
+
+
+@then('every payment that was answered ran')
+def answered_ran(world: World) -> None:
+    answered = sum(1 for one in world.outcomes if one.status == 200)
+    assert 0 < answered <= len(_runs(world))
+
+
+def _runs(world: World) -> dict[str, int]:
+    """Return how often each payment ran at all targets together."""
+    runs: dict[str, int] = {}
+    for pair in world.running.pairs:
+        stats = pair.target_stats()
+        for key in stats['keys']:
+            runs[key] = runs.get(key, 0) + stats['repeated'].get(key, 1)
+    return runs
--- /dev/null
+++ b/tests/test_proof_targets.py
@@ -0,0 +1,135 @@
+"""Targets are spared, and callers get whole answers."""
+
+from __future__ import annotations
+
+import signal
+from http.client import HTTPConnection
+from time import sleep
+
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from demo.harness import wait_until
+from tests.callers import Callers, call
+from tests.world import MAX_WAIT, World
+
+scenarios('features/targets.feature')
+
+_WARM = 400  # answers that warm four targets
+
+
+@given(
+    parsers.parse(
+        '{count:d} bookings targets that fall over when cold,'
+        ' over the zones {zones}',
+    ),
+)
+def start_brittle(world: World, count: int, zones: str) -> None:
+    world.start(count, zones, {'crashes_when_cold': True})
+
+
+@given(parsers.parse('callers of bookings that wait {ms:d} ms for each answer'))
+def start_patient_callers(world: World, ms: int) -> None:
+    # Cold targets take three times as long, which is not what is shown.
+    warming = world.start_callers('/bookings/list', threads=8)
+    wait_until(lambda: warming.kinds()['whole'] >= _WARM, MAX_WAIT)
+    warming.stop()
+    world.start_callers(f'/bookings/list?ms={ms}')
+
+
+@when('a node is told to stop')
+def stop_node(world: World) -> None:
+    pair = world.running.pairs[-1]
+    world.stopped = pair.node
+    pair.node.send(signal.SIGTERM)
+
+
+@when('a target is told to stop')
+def stop_target(world: World) -> None:
+    world.stopped = world.running.pairs[-1].target
+    world.stopped.send(signal.SIGTERM)
+
+
+@when(
+    parsers.parse(
+        '{count:d} callers send the request that crashes targets, one by one',
+    ),
+)
+def crash(world: World, count: int) -> None:
+    pairs = world.running.pairs
+    for index in range(count):
+        call(pairs[index % len(pairs)].callers, '/bookings/poison')
+        sleep(0.5)
+
+
+@when(parsers.parse('the target of zone {zone} cuts its bodies short'))
+def cut_bodies(world: World, zone: str) -> None:
+    world.of_zone(zone).change_target(cuts_body=True)
+
+
+@when(
+    parsers.parse('a caller goes away while its request of {ms:d} ms runs'),
+)
+def go_away(world: World, ms: int) -> None:
+    host, _, port = world.operator().callers.partition(':')
+    connection = HTTPConnection(host, int(port))
+    connection.request('GET', f'/bookings/x?ms={ms}')
+    wait_until(lambda: world.count('requests') == 1, MAX_WAIT)
+    connection.close()
+
+
+@then(
+    parsers.parse('within {limit:d} seconds some target has been told to stop'),
+)
+def told_to_stop(world: World, limit: int) -> None:
+    wait_until(lambda: world.count('cancelled') == 1, limit)
+
+
+@then('no call was cut off')
+def none_cut(world: World) -> None:
+    # A caller that finds the listener closed had nothing in flight.
+    cut = [
+        one
+        for one in world.all_outcomes()
+        if not one.is_whole and one.kind != 'ConnectionRefusedError'
+    ]
+    assert cut == []
+
+
+@when(
+    parsers.parse('{count:d} callers call at once while zones a and b go out'),
+)
+def surge(world: World, count: int) -> None:
+    entries = [pair.callers for pair in world.running.pairs]
+    world.callers = Callers(entries, '/bookings/list', threads=count)
+    for zone in ('a', 'b'):
+        world.take_out(zone)
+
+
+@then('no target has crashed')
+def none_crashed(world: World) -> None:
+    assert not any(
+        pair.target and pair.target.has_ended for pair in world.running.pairs
+    )
+
+
+@then('every caller has got a whole answer, or one that says not run')
+def whole_or_not_run(world: World) -> None:
+    outcomes = world.all_outcomes()
+    assert sum(one.is_whole for one in outcomes) > len(outcomes) / 2
+    unclear = [
+        one for one in outcomes if not one.is_whole and one.run != 'not-run'
+    ]
+    assert unclear == []
+
+
+@then(parsers.parse('at most {limit:d} targets have crashed'))
+def crashed(world: World, limit: int) -> None:
+    targets = [pair.target for pair in world.running.pairs if pair.target]
+    ended = sum(1 for target in targets if target.has_ended)
+    assert 1 <= ended <= limit
+
+
+@then('requests that look like it are answered')
+def neighbours_answered(world: World) -> None:
+    for pair in world.running.pairs:
+        assert call(pair.callers, '/bookings/poise').is_whole
--- a/tests/test_target_watch.py
+++ b/tests/test_target_watch.py
@@ -39,7 +39,7 @@
         """Count."""
         self.changes += 1
 
-    def on_crash(self, crash_id: str, fingerprints: list[int]) -> None:
+    def on_crash(self, start_id: str, fingerprints: list[int]) -> None:
         """Note the fingerprints."""
         self.crashes.append(fingerprints)
 
