Try a fault at the end of a chain again there only; give requests classes

All calls of one service had one priority, so that the gate's order by priority had nothing to order. Ruled out: the budgets (they bound each step, not the product); smaller budgets (they would take away retries that help, where the fault is near). Change: the node beside a target knows from the correlation id which of its runs made a call that failed, and says so in the answer; such an answer is not tried again, and the target in the middle is not avoided for it. Services declare request classes by path, with a priority and a histogram of their own. The stand-in target can call a chain. Found: a target got the correlation header twice, first the caller's, so that chains lost their thread; a test for it failed first. Ids longer than 64 characters were replaced, which six steps reach.

--- a/bluebellsill/_validation.py
+++ b/bluebellsill/_validation.py
@@ -3,7 +3,15 @@
 from __future__ import annotations
 
 from functools import cache
-from typing import TYPE_CHECKING, Any, TypeVar, get_type_hints
+from typing import (
+    TYPE_CHECKING,
+    Annotated,
+    Any,
+    TypeVar,
+    get_args,
+    get_origin,
+    get_type_hints,
+)
 
 import msgspec
 from msgspec.structs import fields
@@ -82,8 +90,30 @@
     is_struct = isinstance(hint, type) and issubclass(hint, msgspec.Struct)
     if is_struct and isinstance(found, dict):
         return validate(hint, found, f'{key}.').err() or []
+    item_type = _item_type(hint)
+    if item_type is not None and isinstance(found, list):
+        faults = [
+            fault
+            for index, item in enumerate(found)
+            for fault in _find_faults(item_type, item, f'{key}[{index}]')
+        ]
+        if faults:
+            return faults
     try:
         msgspec.convert(found, hint)
     except msgspec.ValidationError as error:
         return [Fault(key, repr(found), str(error))]
     return []
+
+
+def _item_type(hint: Any) -> type[msgspec.Struct] | None:
+    """Return the struct type of a collection's items, if it has one."""
+    if get_origin(hint) is Annotated:
+        hint = get_args(hint)[0]
+    for item_type in get_args(hint):
+        if isinstance(item_type, type) and issubclass(
+            item_type,
+            msgspec.Struct,
+        ):
+            return item_type
+    return None
--- a/bluebellsill/calls.py
+++ b/bluebellsill/calls.py
@@ -20,7 +20,9 @@
 __all__ = ('PlacedCall',)
 
 _REPLY_MARGIN = 0.05  # seconds that the node gets beyond the try's budget
-_NOT_FORWARDED = frozenset(('host', 'bluebellsill-deadline-ms'))
+_NOT_FORWARDED = frozenset(
+    ('host', 'bluebellsill-deadline-ms', 'bluebellsill-correlation'),
+)
 
 Reply = Answer | Refusal | Failure | LinkLost
 
@@ -99,7 +101,7 @@
             self._headers,
             request.body,
             int(place.seconds * 1000),
-            inbound.service.priority.rank,
+            inbound.request_class.priority.rank,
             inbound.is_idempotent,
             inbound.fingerprint,
             inbound.correlation,
@@ -136,6 +138,7 @@
             answer.status,
             answer.in_flight,
             answer.limit,
+            has_failed_below=answer.has_failed_below,
         )
         if again is not None:
             self._act(again)
--- a/bluebellsill/dispatch.py
+++ b/bluebellsill/dispatch.py
@@ -78,13 +78,23 @@
         self._budget.on_call()
         return self._place(Problem(ErrorKind.NO_TARGET, 'no target is ready'))
 
-    def on_answer(self, status: int, load: int, limit: int) -> Place | None:
+    def on_answer(
+        self,
+        status: int,
+        load: int,
+        limit: int,
+        *,
+        has_failed_below: bool = False,
+    ) -> Place | None:
         """Take in a whole answer and the load at the target's node.
 
         Args:
             status: The HTTP status.
             load: The calls that run or wait there.
             limit: The calls that may run there.
+            has_failed_below: Whether a service that the target called
+                failed. It was tried again there, so that a fault at the
+                end of a chain is not multiplied at each step.
 
         Returns:
             Where to try again, or None to pass the answer on.
@@ -93,12 +103,14 @@
         view = self._end_try()
         if view is not None:
             view.on_report(load, limit, now)
-            if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+            if status < HTTPStatus.INTERNAL_SERVER_ERROR:
+                view.on_latency(now - self._sent_at, now)
+            elif not has_failed_below:
                 # A target that fails fast must not look like a fast one.
                 view.on_error_status(now)
-            else:
-                view.on_latency(now - self._sent_at, now)
-        if not self._is_idempotent or status not in _RETRYABLE_STATUSES:
+        if has_failed_below or not self._is_idempotent:
+            return None
+        if status not in _RETRYABLE_STATUSES:
             return None
         self.may_have_run = True
         if not self._budget.take(was_dispatched=True):
--- a/bluebellsill/filters.py
+++ b/bluebellsill/filters.py
@@ -9,7 +9,7 @@
 from xxhash import xxh3_64
 
 from bluebellsill.errors import ErrorKind, Problem
-from bluebellsill.resources import OUTSIDE, Service
+from bluebellsill.resources import OUTSIDE, RequestClass, Service
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -47,6 +47,7 @@
         received_at: When it arrived, in seconds.
         service_name: The first segment of the path.
         service: The declared service.
+        request_class: The class of the request within the service.
         deadline: When the caller waits no longer.
         fingerprint: A hash that equal requests share.
         tenant: Whom the call is counted for.
@@ -58,6 +59,7 @@
     received_at: float
     service_name: str = ''
     service: Service = Service()
+    request_class: RequestClass = Service().class_of('/')
     deadline: float = 0
     fingerprint: int = 0
     tenant: str = ''
@@ -86,7 +88,7 @@
 
 
 class ServiceFilter:
-    """Finds the service that the path names."""
+    """Finds the service that the path names, and the request's class."""
 
     def __init__(self, configuration: Configuration) -> None:
         """Look services up in the configuration in force."""
@@ -101,6 +103,7 @@
             message = f'service {inbound.service_name!r} is not declared'
             return Err(Problem(ErrorKind.UNKNOWN_SERVICE, message))
         inbound.service = service
+        inbound.request_class = service.class_of(inbound.request.path)
         return Ok(None)
 
 
--- a/bluebellsill/gateway.py
+++ b/bluebellsill/gateway.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 from result import Err
@@ -27,6 +28,7 @@
 from bluebellsill.keyed_call import KeyedCall
 from bluebellsill.logs import get_logger
 from bluebellsill.membership import MemberState
+from bluebellsill.resources import OUTSIDE
 from bluebellsill.retries import RetryBudget
 from bluebellsill.routing import Router
 
@@ -46,8 +48,8 @@
 __all__ = ('Gateway',)
 
 _CORRELATION_HEADER = 'bluebellsill-correlation'
-_CORRELATION_BITS = 64
-_MAX_CORRELATION_LENGTH = 64  # characters
+_CORRELATION_BITS = 32
+_MAX_CORRELATION_LENGTH = 128  # characters
 
 
 class _Route:
@@ -179,22 +181,37 @@
     ) -> None:
         self.in_flight -= 1
         if isinstance(outcome, Problem):
+            self._note_status(inbound, outcome.answer.status)
             self._log_problem(inbound, outcome)
             reply.send(problem_response(outcome, inbound.correlation, run))
             return
+        self._note_status(inbound, outcome.status)
         self._metrics.counts['answered'] += 1
         seconds = self._clock.now() - inbound.received_at
-        self._metrics.record(inbound.service_name, inbound.tenant, seconds)
+        self._metrics.record(
+            inbound.service_name,
+            inbound.request_class.name,
+            inbound.tenant,
+            seconds,
+        )
         # A list of its own: a key's record may share the other one.
         headers = [*outcome.headers, (_CORRELATION_HEADER, inbound.correlation)]
         reply.send(Response(outcome.status, headers, outcome.body))
 
+    def _note_status(self, inbound: Inbound, status: int) -> None:
+        """Tell the run of the target here that its onward call failed."""
+        is_inner = inbound.caller != OUTSIDE
+        if is_inner and status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+            parent = inbound.request.header(_CORRELATION_HEADER)
+            self._runner.on_failed_below(parent)
+
     def _log_problem(self, inbound: Inbound, problem: Problem) -> None:
         self._metrics.counts[f'answered_{problem.kind.value}'] += 1
         self._log.info(
             'call failed',
             correlation=inbound.correlation,
             service=inbound.service_name,
+            request_class=inbound.request_class.name,
             kind=problem.kind.value,
             reason=problem.message,
         )
@@ -202,7 +219,7 @@
     def _correlation(self, request: Request) -> str:
         given = request.header(_CORRELATION_HEADER)
         if given and len(given) <= _MAX_CORRELATION_LENGTH:
-            return f'{given}/{self._random.getrandbits(_CORRELATION_BITS):016x}'
+            return f'{given}/{self._random.getrandbits(_CORRELATION_BITS):08x}'
         self._next_call += 1
         own = self._members.own
         return f'{own.id}/{own.incarnation:x}/{self._next_call:x}'
--- a/bluebellsill/messages.py
+++ b/bluebellsill/messages.py
@@ -119,7 +119,18 @@
 
 
 class Answer(_Message, frozen=True, tag=5):
-    """The whole answer of a target, with the load at its node."""
+    """The whole answer of a target, with the load at its node.
+
+    Attributes:
+        id: Names the call on its connection.
+        status: The HTTP status.
+        headers: The end-to-end headers.
+        body: The whole body.
+        in_flight: Calls that run or wait at the target's node.
+        limit: Calls that may run there.
+        has_failed_below: Whether the target failed because a service that
+            it called failed, which has been tried again there.
+    """
 
     id: int
     status: int
@@ -127,6 +138,7 @@
     body: bytes
     in_flight: int
     limit: int
+    has_failed_below: bool = False
 
 
 class Refusal(_Message, frozen=True, tag=6):
--- a/bluebellsill/metrics.py
+++ b/bluebellsill/metrics.py
@@ -1,4 +1,4 @@
-"""Latency histograms for each service and tenant."""
+"""Latency histograms for each service, class of requests and tenant."""
 
 from __future__ import annotations
 
@@ -7,6 +7,8 @@
 
 from hdrh.histogram import HdrHistogram
 
+from bluebellsill.resources import DEFAULT_CLASS
+
 __all__ = ('Latencies', 'Metrics', 'summarize')
 
 _MIN_LATENCY = 1  # microseconds
@@ -54,11 +56,20 @@
         """Create empty metrics."""
         self.counts: Counter[str] = Counter()
         self._by_service: dict[str, Latencies] = defaultdict(Latencies)
+        self._by_class: dict[str, Latencies] = defaultdict(Latencies)
         self._by_tenant: dict[str, Latencies] = defaultdict(Latencies)
 
-    def record(self, service: str, tenant: str, seconds: float) -> None:
+    def record(
+        self,
+        service: str,
+        request_class: str,
+        tenant: str,
+        seconds: float,
+    ) -> None:
         """Count the latency of one answered call."""
         self._by_service[service].record(seconds)
+        if request_class != DEFAULT_CLASS:
+            self._by_class[f'{service}/{request_class}'].record(seconds)
         if tenant not in self._by_tenant and (
             len(self._by_tenant) >= _MAX_TENANTS
         ):
@@ -70,6 +81,7 @@
         return {
             'counts': dict(self.counts),
             'by_service': summarize(self._by_service),
+            'by_class': summarize(self._by_class),
             'by_tenant': summarize(self._by_tenant),
         }
 
--- a/bluebellsill/resources.py
+++ b/bluebellsill/resources.py
@@ -14,10 +14,12 @@
     from collections.abc import Mapping
 
 __all__ = (
+    'DEFAULT_CLASS',
     'OUTSIDE',
     'AvailabilityZone',
     'Kind',
     'Priority',
+    'RequestClass',
     'Service',
     'Shift',
     'Target',
@@ -25,6 +27,7 @@
 )
 
 OUTSIDE = 'outside'
+DEFAULT_CLASS = 'default'
 
 Name = Annotated[str, Meta(pattern='^[a-z0-9][a-z0-9-]{0,62}$')]
 
@@ -53,11 +56,31 @@
         return list(Priority).index(self)
 
 
+class RequestClass(Struct, frozen=True, forbid_unknown_fields=True):
+    """Requests of one service that are counted and shed alike.
+
+    Attributes:
+        name: Names the class in histograms and logs.
+        path: The path that their paths begin with, segment by segment.
+        priority: Which requests are shed first.
+    """
+
+    name: Name
+    path: Annotated[str, Meta(pattern='^/[!-~]*$')]
+    priority: Priority = Priority.NORMAL
+
+    def fits(self, path: str) -> bool:
+        """Return whether a request with a path is of this class."""
+        own = self.path.rstrip('/')
+        return path == own or path.startswith(f'{own}/')
+
+
 class Service(Struct, frozen=True, omit_defaults=False):
     """A service: who may call it and what its targets bear.
 
     Attributes:
         priority: Which requests are shed first.
+        classes: Requests with a priority of their own; the first that fits.
         callers: ``outside`` and the names of services that may call it.
         expected_targets: How many targets the service has. Keyed requests
             run only where more than half of them are in sight; 0 counts
@@ -70,6 +93,7 @@
     """
 
     priority: Priority = Priority.NORMAL
+    classes: Annotated[tuple[RequestClass, ...], Meta(max_length=16)] = ()
     callers: tuple[Name, ...] = (OUTSIDE,)
     expected_targets: Annotated[int, Meta(ge=0, le=100000)] = 0
     slots: Annotated[int, Meta(ge=1, le=1024)] = 6
@@ -78,6 +102,18 @@
     probe_cost_ms: Annotated[float, Meta(gt=0, le=1000)] = 6
     probe_budget_ms: Annotated[float, Meta(gt=0, le=1000)] = 6
 
+    def class_of(self, target: str) -> RequestClass:
+        """Return the class of a request.
+
+        Args:
+            target: The request target, a path and perhaps a query.
+        """
+        path = target.partition('?')[0]
+        for one in self.classes:
+            if one.fits(path):
+                return one
+        return RequestClass(DEFAULT_CLASS, '/', self.priority)
+
 
 class AvailabilityZone(Struct, frozen=True):
     """An availability zone, in or out of service."""
--- a/bluebellsill/standin_target.py
+++ b/bluebellsill/standin_target.py
@@ -4,6 +4,7 @@
 
 import os
 from collections import Counter
+from dataclasses import dataclass
 from http import HTTPStatus
 from random import Random
 from typing import TYPE_CHECKING, Annotated, Any
@@ -23,6 +24,7 @@
 from bluebellsill.http_client import HttpPool
 from bluebellsill.http_server import HttpServer, Reply
 from bluebellsill.reactor import Reactor
+from bluebellsill.standin_chain import onward_request
 from bluebellsill.streams import Address
 from bluebellsill.target_watch import Announcement
 from bluebellsill.timers import TimerService
@@ -33,6 +35,7 @@
 __all__ = ('Behaviour', 'StandInTarget')
 
 _ANNOUNCE_PERIOD = 1.0  # seconds
+_ONWARD_TIMEOUT = 10.0  # seconds
 _LEDGER_TIMEOUT = 5.0  # seconds
 _ANNOUNCE_TIMEOUT = 0.9  # seconds
 _LEAVE_PERIOD = 0.1  # seconds
@@ -73,6 +76,18 @@
     ledger: Annotated[str, Meta(pattern=r'^([0-9.]{7,15}:[0-9]{1,5})?$')] = ''
 
 
+@dataclass(slots=True, eq=False)
+class _Job:
+    """One request that the target works on."""
+
+    request: Request
+    options: dict[str, list[str]]
+    reply: Reply
+    started_at: float = 0
+    onward_us: int = 0
+    cancel: Callable[[], None] = lambda: None
+
+
 class StandInTarget(BaseComponent):
     """Serves one service and announces itself to the node beside it."""
 
@@ -110,6 +125,7 @@
         self._counts: Counter[str] = Counter()
         self._runs_by_key: Counter[str] = Counter()
         self._last_start: float = 0
+        self._last_deadline_ms = 0
         self._server = HttpServer(self.reactor, address, self._on_request)
         self._start_id = f'{os.getpid()}-{self.timers.clock.now():.6f}'
         self._pool = HttpPool(self.reactor, node) if node else None
@@ -177,6 +193,9 @@
         behaviour = self._behaviour
         self._counts['requests'] += 1
         self._last_start = self.timers.clock.now()
+        self._last_deadline_ms = int(
+            request.header('bluebellsill-deadline-ms') or 0,
+        )
         if 'poison' in path:
             os._exit(_CRASH_EXIT)
         if behaviour.is_failing:
@@ -219,31 +238,55 @@
             self._counts['max_running'],
             self._in_flight,
         )
-        response = self._response(request, options)
-        started_at = self.timers.clock.now()
-
-        def finish() -> None:
-            seconds = self.timers.clock.now() - started_at
-            response.headers.append(
-                ('x-service-us', str(int(seconds * _MICROSECONDS)))
+        job = _Job(request, options, reply)
+        reply.on_abandoned = lambda: self._abandon(job)
+        chain = options.get('chain', [''])[0]
+        if chain and self._pool is not None:
+            onward = onward_request(request, chain, str(self._pool.address))
+            exchange = self._pool.request(
+                onward,
+                _ONWARD_TIMEOUT,
+                lambda done: self._on_onward(job, done),
             )
-            self._in_flight -= 1
-            self._warmth += 1
-            if self._behaviour.cuts_body:
-                reply.cut(response)
-            elif 'chunked' in options:
-                reply.send_chunked(response)
-            else:
-                reply.send(response)
-
-        timer = self.timers.after(self._seconds(options), finish)
+            job.cancel = exchange.cancel
+        else:
+            self._serve(job)
 
-        def on_abandoned() -> None:
-            self._counts['cancelled'] += 1
-            self._in_flight -= 1
-            timer.cancel()
+    def _on_onward(self, job: _Job, done: Any) -> None:
+        if done.is_ok() and done.ok_value.status == HTTPStatus.OK:
+            job.onward_us = int(done.ok_value.header('x-service-us') or 0)
+            self._serve(job)
+            return
+        self._in_flight -= 1
+        self._counts['onward_failed'] += 1
+        job.reply.send(Response(HTTPStatus.BAD_GATEWAY.value))
+
+    def _serve(self, job: _Job) -> None:
+        job.started_at = self.timers.clock.now()
+        timer = self.timers.after(
+            self._seconds(job.options),
+            lambda: self._finish(job),
+        )
+        job.cancel = timer.cancel
+
+    def _finish(self, job: _Job) -> None:
+        seconds = self.timers.clock.now() - job.started_at
+        response = self._response(job.request, job.options)
+        spent = int(seconds * _MICROSECONDS) + job.onward_us
+        response.headers.append(('x-service-us', str(spent)))
+        self._in_flight -= 1
+        self._warmth += 1
+        if self._behaviour.cuts_body:
+            job.reply.cut(response)
+        elif 'chunked' in job.options:
+            job.reply.send_chunked(response)
+        else:
+            job.reply.send(response)
 
-        reply.on_abandoned = on_abandoned
+    def _abandon(self, job: _Job) -> None:
+        self._counts['cancelled'] += 1
+        self._in_flight -= 1
+        job.cancel()
 
     def _slots(self) -> int:
         """Return how many requests the target bears now."""
@@ -307,6 +350,7 @@
             'counts': dict(self._counts),
             'running': self._in_flight,
             'slots': self._slots(),
+            'last_deadline_ms': self._last_deadline_ms,
             'idle_seconds': self.timers.clock.now() - self._last_start,
             'runs': sum(self._runs_by_key.values()),
             'keys': sorted(self._runs_by_key),
--- a/bluebellsill/target_runner.py
+++ b/bluebellsill/target_runner.py
@@ -47,7 +47,7 @@
 class Run:
     """One call at the target's node, from offer to answer."""
 
-    __slots__ = ('call', 'exchange', 'respond', 'ticket')
+    __slots__ = ('call', 'exchange', 'has_failed_below', 'respond', 'ticket')
 
     def __init__(
         self,
@@ -60,6 +60,7 @@
         self.ticket = ticket
         self.respond = respond
         self.exchange: Exchange | None = None
+        self.has_failed_below = False
 
 
 class TargetRunner:
@@ -162,6 +163,16 @@
             run.exchange.cancel()
         self._free(run.ticket)
 
+    def on_failed_below(self, correlation: str) -> None:
+        """A call that the target made for one of its runs has failed.
+
+        Args:
+            correlation: Names the run.
+        """
+        for run in self._runs_by_ticket.values():
+            if run.call.correlation == correlation:
+                run.has_failed_below = True
+
     def close(self) -> None:
         """Close every connection to the target."""
         self._watch.close()
@@ -237,9 +248,10 @@
         call = run.call
         now = self._clock.now()
         self._watch.on_answer()
+        is_error = response.status >= HTTPStatus.INTERNAL_SERVER_ERROR
         if response.status == HTTPStatus.SERVICE_UNAVAILABLE:
             self.gate.ramp.on_shed()
-        elif response.status < HTTPStatus.INTERNAL_SERVER_ERROR:
+        elif not is_error:
             latency = now - run.ticket.started_at
             self.gate.ramp.on_answer(latency, self.gate.in_flight)
         if self._quarantine.on_answer(call.fingerprint):
@@ -252,6 +264,7 @@
                 response.body,
                 self.gate.load - 1,
                 self.gate.limit,
+                run.has_failed_below and is_error,
             ),
         )
 
--- a/demo/experiment.py
+++ b/demo/experiment.py
@@ -57,6 +57,7 @@
         targets: How many targets there are, over three zones.
         warm_up: Calls a second, for ten seconds, before the load.
         behaviour: How the targets behave at first.
+        service: What operators declare of the service.
         streams: The calls, in the form of a load plan.
         events: What happens meanwhile.
         choices: The ways to compare.
@@ -70,6 +71,7 @@
     streams: list[Stream]
     warm_up: float = 0
     behaviour: dict[str, Any] = msgspec.field(default_factory=dict)
+    service: dict[str, Any] = msgspec.field(default_factory=dict)
     events: list[Event] = msgspec.field(default_factory=list)
     choices: list[ChoiceName] = msgspec.field(
         default_factory=lambda: list(ChoiceName),
@@ -138,7 +140,8 @@
 def _start(running: Deployment, experiment: Experiment) -> None:
     places = [('abc'[one % 3], _SERVICE) for one in range(experiment.targets)]
     running.start_pairs(places, experiment.behaviour)
-    running.declare({_SERVICE: {'expected_targets': experiment.targets}})
+    spec = {'expected_targets': experiment.targets, **experiment.service}
+    running.declare({_SERVICE: spec})
 
 
 def _counts(running: Deployment, index: int) -> dict[str, int]:
--- a/tests/node_session.py
+++ b/tests/node_session.py
@@ -142,6 +142,7 @@
         self.streams: list[PlayedStream] = []
         self.is_fresh = True
         self.asked: list[tuple[str, int]] = []
+        self.sent: list[Message] = []
         self.clock = ManualClock()
         self.timers = TimerService(self.clock)
         self.reactor: Any = SimpleNamespace(timers=self.timers)
@@ -247,15 +248,20 @@
         self.members.merge(record, self.clock.now())
 
     def call(
-        self, caller: str, method: str, path: str, **headers: str
+        self,
+        name: str,
+        method: str,
+        path: str,
+        caller: str = OUTSIDE,
+        **headers: str,
     ) -> PlayedReply:
-        """Send a caller's request."""
-        names = [(key.replace('_', '-'), text) for key, text in headers.items()]
-        shown = [f'{name}: {text}' for name, text in names]
-        self.write(' '.join([caller, 'sends', method, path, *shown]))
-        reply = PlayedReply(self, caller)
-        request = Request(method, path, names, b'')
-        self.gateway.handle(request, reply, OUTSIDE)  # type: ignore[arg-type]
+        """Send a caller's request, or one of the target beside the node."""
+        pairs = [(key.replace('_', '-'), text) for key, text in headers.items()]
+        shown = [f'{header}: {text}' for header, text in pairs]
+        self.write(' '.join([name, 'sends', method, path, *shown]))
+        reply = PlayedReply(self, name)
+        request = Request(method, path, pairs, b'')
+        self.gateway.handle(request, reply, caller)  # type: ignore[arg-type]
         self.timers.run_due()
         return reply
 
@@ -372,6 +378,7 @@
         else:
             message = decode(payload[_PREFIX:])
             line = _shown(message)
+            self.sent.append(message)
             if isinstance(message, Call | Claim):
                 self.asked.append((stream.address, message.id))
         self.write(f'node sends {stream.address} {line}')
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -158,6 +158,15 @@
     assert dispatch.on_answer(200, 1, 6) is None
 
 
+def test_fault_below_a_target_is_not_tried_again_above_it() -> None:
+    router = _router()
+    dispatch = _dispatch(ManualClock(1), is_idempotent=True, router=router)
+    dispatch.start()
+    assert dispatch.on_answer(502, 1, 6, has_failed_below=True) is None
+    # Nor is the target avoided for it.
+    assert all(not view.avoided_until for view in router.views_by_id.values())
+
+
 def test_error_of_a_payment_is_passed_on() -> None:
     dispatch = _dispatch(ManualClock(), is_idempotent=False)
     dispatch.start()
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -21,14 +21,14 @@
     monkeypatch.setattr(metrics, 'HdrHistogram', make)
     found = Metrics()
     for _ in range(100):
-        found.record('bookings', 'club', 0.01)
+        found.record('bookings', 'default', 'club', 0.01)
     assert len(made) == 2
 
 
 def test_summary_tells_percentiles() -> None:
     found = Metrics()
     for milliseconds in range(1, 101):
-        found.record('bookings', 'club', milliseconds / 1000)
+        found.record('bookings', 'default', 'club', milliseconds / 1000)
     summary = found.document()['by_service']['bookings']
     assert summary['count'] == 100
     # Two significant digits.
@@ -39,7 +39,17 @@
 def test_tenants_are_bounded() -> None:
     found = Metrics()
     for tenant in range(1000):
-        found.record('bookings', f'tenant-{tenant}', 0.01)
+        found.record('bookings', 'default', f'tenant-{tenant}', 0.01)
     by_tenant = found.document()['by_tenant']
     assert len(by_tenant) == 65
     assert by_tenant['other']['count'] == 936
+
+
+def test_classes_have_histograms_of_their_own() -> None:
+    found = Metrics()
+    found.record('bookings', 'payments', 'club', 0.02)
+    found.record('bookings', 'default', 'club', 0.01)
+    document = found.document()
+    assert list(document['by_class']) == ['bookings/payments']
+    assert document['by_class']['bookings/payments']['count'] == 1
+    assert document['by_service']['bookings']['count'] == 2
--- a/tests/test_node_sessions.py
+++ b/tests/test_node_sessions.py
@@ -10,6 +10,7 @@
 from bluebellsill.idempotency import ClaimState, Outcome
 from bluebellsill.messages import (
     Answer,
+    Call,
     ClaimReply,
     Failure,
     HeartbeatReply,
@@ -47,6 +48,10 @@
     return lambda one: Answer(one, 200, [], body.encode(), 1, 6)
 
 
+def _answer(status: int) -> Callable[[int], Message]:
+    return lambda one: Answer(one, status, [], b'', 1, 6)
+
+
 def _refusal(kind: str) -> Callable[[int], Message]:
     return lambda one: Refusal(one, kind, 6, 6)
 
@@ -199,6 +204,38 @@
     session.compare('target_calls.txt')
 
 
+def test_chain_session(patch: pytest.MonkeyPatch) -> None:
+    session = NodeSession(patch, service=_SERVICE)
+    session.declare(Kind.SERVICE, _SERVICE)
+    session.declare(Kind.SERVICE, 'stock', callers=[_SERVICE])
+    session.meet(_FIRST, 'stock')
+    session.meet(_SECOND, 'stock')
+    session.announce('one')
+
+    session.title('A call that the target makes is tried twice, not above it')
+    session.hand('order', '/bookings/order')
+    onward = partial(session.call, 'target', 'GET', '/stock/check')
+    onward(bluebellsill_correlation='order', caller=_SERVICE)
+    session.reply(_answer(500))
+    session.reply(_answer(500))
+    session.answers(502)
+
+    session.title('A target that copes without it has not failed')
+    session.hand('order', '/bookings/order')
+    onward(bluebellsill_correlation='order', caller=_SERVICE)
+    session.reply(_answer(500))
+    session.reply(_answer(500))
+    session.answers(200, 'whole')
+
+    session.title('Its own error may be tried elsewhere')
+    session.hand('order', '/bookings/order')
+    session.answers(500)
+
+    session.title('Others may not call the inner service')
+    session.call('coach', 'GET', '/stock/check')
+    session.compare('target_chain.txt')
+
+
 def test_target_crash_session(patch: pytest.MonkeyPatch) -> None:
     session = NodeSession(patch, service=_SERVICE)
     session.declare(Kind.SERVICE, _SERVICE, slots=6)
@@ -305,3 +342,18 @@
     session.lose(_FIRST)
     session.claim(_KEYS[3], 'one')
     session.compare('holder_keys.txt')
+
+
+def test_headers_between_nodes_are_not_handed_on(entry: NodeSession) -> None:
+    entry.call(
+        'target',
+        'GET',
+        '/bookings/free',
+        bluebellsill_correlation='order',
+        bluebellsill_deadline_ms='700',
+        x_nonce='own',
+    )
+    (call,) = [one for one in entry.sent if isinstance(one, Call)]
+    # The target gets the call's own, with the present deadline.
+    assert call.headers == [('x-nonce', 'own')]
+    assert call.correlation.startswith('order/')
