--- a/bluebellsill/gateway.py
+++ b/bluebellsill/gateway.py
@@ -37,9 +37,9 @@
     from random import Random
 
     from bluebellsill.configuration import Configuration
+    from bluebellsill.gossip_messages import Member
     from bluebellsill.keyed_call import KeyHolders
     from bluebellsill.membership import Members
-    from bluebellsill.messages import Member
     from bluebellsill.metrics import Metrics
     from bluebellsill.peers import PeerLinks
     from bluebellsill.quarantine import Quarantine
--- a/bluebellsill/gossip_task.py
+++ b/bluebellsill/gossip_task.py
@@ -5,8 +5,9 @@
 from typing import TYPE_CHECKING
 
 from bluebellsill.freshness import CHECK_PERIOD, Freshness
+from bluebellsill.gossip_messages import Ack, Applied
 from bluebellsill.logs import get_logger
-from bluebellsill.messages import Ack, Applied, Message
+from bluebellsill.messages import Message
 from bluebellsill.rollout import Rollout, readers_of
 from bluebellsill.swim import PERIOD, Swim
 
--- a/bluebellsill/holder_history.py
+++ b/bluebellsill/holder_history.py
@@ -13,7 +13,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
-    from bluebellsill.messages import Lives, Member
+    from bluebellsill.gossip_messages import Member
+    from bluebellsill.messages import Lives
 
 __all__ = ('Certainty', 'HolderHistory', 'holders_of', 'key_time')
 
--- a/bluebellsill/key_registry.py
+++ b/bluebellsill/key_registry.py
@@ -23,8 +23,9 @@
     from collections.abc import Callable
 
     from bluebellsill.configuration import Configuration
+    from bluebellsill.gossip_messages import Member
     from bluebellsill.membership import Members
-    from bluebellsill.messages import Lives, Member
+    from bluebellsill.messages import Lives
     from bluebellsill.peers import LinkLost, PeerLinks
 
 __all__ = ('KeyRegistry',)
--- a/bluebellsill/membership.py
+++ b/bluebellsill/membership.py
@@ -10,7 +10,7 @@
 
 from msgspec.structs import replace
 
-from bluebellsill.messages import Member
+from bluebellsill.gossip_messages import Member
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
--- a/bluebellsill/messages.py
+++ b/bluebellsill/messages.py
@@ -1,13 +1,21 @@
-"""The messages that the processes of the system send one another."""
+"""The messages that nodes send one another, and their encoding."""
 
 from __future__ import annotations
 
-from msgspec import DecodeError, Struct, field, msgpack
+from msgspec import DecodeError, field, msgpack
+
+from bluebellsill._wire import WireMessage
+from bluebellsill.gossip_messages import (
+    Ack,
+    Applied,
+    Ping,
+    PingRequest,
+    Sync,
+    SyncRequest,
+)
 
 __all__ = (
-    'Ack',
     'Answer',
-    'Applied',
     'Call',
     'Cancel',
     'Claim',
@@ -17,17 +25,12 @@
     'Heartbeat',
     'HeartbeatReply',
     'Hello',
-    'Member',
     'Message',
     'MessageError',
-    'Ping',
-    'PingRequest',
     'Refusal',
     'RevisionRequest',
     'Revisions',
     'Settle',
-    'Sync',
-    'SyncRequest',
     'ZoneReport',
     'ZoneReportRequest',
     'decode',
@@ -42,53 +45,26 @@
     """A peer sent bytes that are not a message."""
 
 
-class _Message(Struct, array_like=True, frozen=True, gc=False):
-    """The base of all messages: a tagged MessagePack array."""
-
-
-class Member(_Message, frozen=True):
-    """One node as the membership knows it.
-
-    Attributes:
-        id: The node's peer address, ``host:port``.
-        incarnation: Which life of the node this is; higher is later.
-        version: Counts what the node says of itself in this life.
-        state: The numeric value of a ``MemberState``.
-        zone: The availability zone.
-        service: The service of the target beside the node, or empty.
-    """
-
-    id: str
-    incarnation: int
-    version: int
-    state: int
-    zone: str
-    service: str
-
-
-# Calls, over TCP.
-
-
-class Hello(_Message, frozen=True, tag=1):
+class Hello(WireMessage, frozen=True, tag=1):
     """The first message on a connection: who calls."""
 
     member_id: str
     incarnation: int
 
 
-class Heartbeat(_Message, frozen=True, tag=2):
+class Heartbeat(WireMessage, frozen=True, tag=2):
     """Asks whether the other side of a connection is still there."""
 
     id: int
 
 
-class HeartbeatReply(_Message, frozen=True, tag=3):
+class HeartbeatReply(WireMessage, frozen=True, tag=3):
     """Answers a heartbeat."""
 
     id: int
 
 
-class Call(_Message, frozen=True, tag=4):
+class Call(WireMessage, frozen=True, tag=4):
     """A request for the target beside the receiving node.
 
     Attributes:
@@ -118,7 +94,7 @@
     correlation: str
 
 
-class Answer(_Message, frozen=True, tag=5):
+class Answer(WireMessage, frozen=True, tag=5):
     """The whole answer of a target, with the load at its node.
 
     Attributes:
@@ -141,7 +117,7 @@
     has_failed_below: bool = False
 
 
-class Refusal(_Message, frozen=True, tag=6):
+class Refusal(WireMessage, frozen=True, tag=6):
     """The node did not hand the call to its target."""
 
     id: int
@@ -150,7 +126,7 @@
     limit: int
 
 
-class Failure(_Message, frozen=True, tag=7):
+class Failure(WireMessage, frozen=True, tag=7):
     """The target got the call, but gave no whole answer.
 
     Attributes:
@@ -164,13 +140,13 @@
     has_crashed: bool
 
 
-class Cancel(_Message, frozen=True, tag=8):
+class Cancel(WireMessage, frozen=True, tag=8):
     """Nobody waits for the answer to a call any more."""
 
     id: int
 
 
-class Claim(_Message, frozen=True, tag=9):
+class Claim(WireMessage, frozen=True, tag=9):
     """Asks one of a key's holders for the right to run a request once."""
 
     id: int
@@ -181,7 +157,7 @@
     holders: Lives
 
 
-class ClaimReply(_Message, frozen=True, tag=10):
+class ClaimReply(WireMessage, frozen=True, tag=10):
     """A key holder's answer: the numeric value of a ``ClaimState``."""
 
     id: int
@@ -191,7 +167,7 @@
     body: bytes = b''
 
 
-class Settle(_Message, frozen=True, tag=11):
+class Settle(WireMessage, frozen=True, tag=11):
     """Tells a key holder how a claimed request ended.
 
     Attributes:
@@ -211,14 +187,14 @@
     body: bytes = b''
 
 
-class RevisionRequest(_Message, frozen=True, tag=12):
+class RevisionRequest(WireMessage, frozen=True, tag=12):
     """Asks a peer for the configuration after a revision."""
 
     id: int
     after: int
 
 
-class Revisions(_Message, frozen=True, tag=13):
+class Revisions(WireMessage, frozen=True, tag=13):
     """Configuration changes, or a snapshot where the log is too short.
 
     Attributes:
@@ -232,14 +208,14 @@
     changes: list[bytes]
 
 
-class ZoneReportRequest(_Message, frozen=True, tag=14):
+class ZoneReportRequest(WireMessage, frozen=True, tag=14):
     """Asks a reader which nodes of its zone lag behind a revision."""
 
     id: int
     revision: int
 
 
-class ZoneReport(_Message, frozen=True, tag=15):
+class ZoneReport(WireMessage, frozen=True, tag=15):
     """How far the nodes of one availability zone have come."""
 
     id: int
@@ -250,7 +226,7 @@
     in_flight: int
 
 
-class CrashReport(_Message, frozen=True, tag=16):
+class CrashReport(WireMessage, frozen=True, tag=16):
     """Fingerprints in flight at a crash, or cleared by an answer.
 
     Attributes:
@@ -264,61 +240,6 @@
     cleared: list[int]
 
 
-# Membership, over UDP.
-
-
-class Ping(_Message, frozen=True, tag=32):
-    """Asks a member whether it is alive, and passes news on."""
-
-    sequence: int
-    sender: Member
-    revision: int
-    updates: list[Member]
-
-
-class Ack(_Message, frozen=True, tag=33):
-    """Answers a ping; ``subject`` is who was found alive."""
-
-    sequence: int
-    subject: str
-    sender: Member
-    revision: int
-    updates: list[Member]
-
-
-class PingRequest(_Message, frozen=True, tag=34):
-    """Asks a member to ping another one on the sender's behalf."""
-
-    sequence: int
-    target: str
-    sender: Member
-
-
-class SyncRequest(_Message, frozen=True, tag=35):
-    """Asks for the members of each bucket whose hash differs."""
-
-    sender: Member
-    revision: int
-    hashes: list[int]
-
-
-class Sync(_Message, frozen=True, tag=36):
-    """Members of buckets that differed."""
-
-    sender: Member
-    revision: int
-    members: list[Member]
-
-
-class Applied(_Message, frozen=True, tag=37):
-    """Tells a reader which revision a node has in force."""
-
-    member_id: str
-    incarnation: int
-    revision: int
-    in_flight: int
-
-
 Message = (
     Hello
     | Heartbeat
--- a/bluebellsill/node.py
+++ b/bluebellsill/node.py
@@ -19,6 +19,7 @@
 from bluebellsill.configuration import Configuration
 from bluebellsill.crash_spread import CrashSpread
 from bluebellsill.gateway import Gateway
+from bluebellsill.gossip_messages import Member
 from bluebellsill.gossip_task import GossipTask
 from bluebellsill.http import Request
 from bluebellsill.http_server import HttpServer, Reply
@@ -28,7 +29,6 @@
 from bluebellsill.messages import (
     CrashReport,
     Hello,
-    Member,
     RevisionRequest,
     ZoneReportRequest,
 )
--- a/bluebellsill/rollout.py
+++ b/bluebellsill/rollout.py
@@ -5,13 +5,14 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Protocol
 
-from bluebellsill.messages import Applied, ZoneReport
+from bluebellsill.gossip_messages import Applied
+from bluebellsill.messages import ZoneReport
 from bluebellsill.rendezvous import rank
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
 
-    from bluebellsill.messages import Member
+    from bluebellsill.gossip_messages import Member
 
 __all__ = ('Rollout', 'RolloutQuery', 'RolloutStatus', 'readers_of')
 
--- a/bluebellsill/rollout_query.py
+++ b/bluebellsill/rollout_query.py
@@ -10,8 +10,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from bluebellsill.gossip_messages import Member
     from bluebellsill.membership import Members
-    from bluebellsill.messages import Member
     from bluebellsill.peers import LinkLost, PeerConnection, PeerLinks
 
 __all__ = ('ZoneRollouts',)
--- a/bluebellsill/routing.py
+++ b/bluebellsill/routing.py
@@ -13,7 +13,7 @@
     from collections.abc import Collection
 
     from bluebellsill.choice import Choice
-    from bluebellsill.messages import Member
+    from bluebellsill.gossip_messages import Member
 
 __all__ = ('Router', 'TargetView')
 
--- a/bluebellsill/swim.py
+++ b/bluebellsill/swim.py
@@ -15,16 +15,16 @@
 
 from msgspec.structs import replace
 
-from bluebellsill.membership import Members, MemberState
-from bluebellsill.messages import (
+from bluebellsill.gossip_messages import (
     Ack,
     Member,
-    Message,
     Ping,
     PingRequest,
     Sync,
     SyncRequest,
 )
+from bluebellsill.membership import Members, MemberState
+from bluebellsill.messages import Message
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/demo/capacity.py
+++ b/demo/capacity.py
@@ -25,8 +25,9 @@
     Stored,
     decode_snapshot,
 )
+from bluebellsill.gossip_messages import Member, Sync
 from bluebellsill.membership import Members, MemberState
-from bluebellsill.messages import Member, Sync, encode
+from bluebellsill.messages import encode
 from bluebellsill.resources import Kind
 from bluebellsill.swim import Swim
 from demo.processes import processor_seconds, resident
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -7,8 +7,9 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+from bluebellsill.gossip_messages import Member
 from bluebellsill.membership import Members, MemberState
-from bluebellsill.messages import Member, Message, decode, encode
+from bluebellsill.messages import Message, decode, encode
 from bluebellsill.swim import PERIOD, Send, Swim
 
 if TYPE_CHECKING:
--- a/tests/keyed_world.py
+++ b/tests/keyed_world.py
@@ -7,6 +7,7 @@
 from random import Random
 from uuid import UUID
 
+from bluebellsill.gossip_messages import Member
 from bluebellsill.holder_history import (
     FENCE,
     HolderHistory,
@@ -19,7 +20,6 @@
     Outcome,
 )
 from bluebellsill.membership import MemberState
-from bluebellsill.messages import Member
 
 _START = 1_700_000_000.0  # seconds since 1970
 _MAX_SKEW = 1.0  # seconds that a caller's clock is off
--- a/tests/node_session.py
+++ b/tests/node_session.py
@@ -21,6 +21,7 @@
 from bluebellsill.crash_spread import CrashSpread
 from bluebellsill.errors import ErrorKind
 from bluebellsill.gateway import Gateway
+from bluebellsill.gossip_messages import Member
 from bluebellsill.http import Request, Response
 from bluebellsill.idempotency import ClaimState, Outcome
 from bluebellsill.key_registry import KeyRegistry
@@ -30,7 +31,6 @@
     Claim,
     Hello,
     Lives,
-    Member,
     Message,
     Settle,
     decode,
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -11,8 +11,8 @@
 from bluebellsill.clock import ManualClock
 from bluebellsill.dispatch import Dispatch, Place
 from bluebellsill.errors import ErrorKind, Problem, Run
+from bluebellsill.gossip_messages import Member
 from bluebellsill.membership import MemberState
-from bluebellsill.messages import Member
 from bluebellsill.quarantine import MAX_CRASHES
 from bluebellsill.retries import RetryBudget
 from bluebellsill.routing import Router
--- a/tests/test_key_registry.py
+++ b/tests/test_key_registry.py
@@ -9,6 +9,7 @@
 from msgspec.structs import replace
 
 from bluebellsill.configuration import Configuration
+from bluebellsill.gossip_messages import Member
 from bluebellsill.holder_history import (
     FENCE,
     SETTLE,
@@ -18,7 +19,7 @@
 )
 from bluebellsill.key_registry import KeyRegistry
 from bluebellsill.membership import Members, MemberState
-from bluebellsill.messages import Claim, Member
+from bluebellsill.messages import Claim
 from tests.callers import new_key
 
 _OTHERS = [f'10.0.0.{index}:1' for index in range(2, 6)]
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -5,8 +5,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from bluebellsill.gossip_messages import Member
 from bluebellsill.membership import Members, MemberState
-from bluebellsill.messages import Member
 
 _RECORDS = st.builds(
     Member,
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -7,8 +7,8 @@
 
 from bluebellsill.choice import RandomChoice, TwoChoices
 from bluebellsill.freshness import Freshness
+from bluebellsill.gossip_messages import Member
 from bluebellsill.membership import MemberState
-from bluebellsill.messages import Member
 from bluebellsill.routing import SUBSET_SIZE, Router
 
 
