Split swim, harness, the stand-in target and the session tests by subject

Cause: four files of more than 350 lines, each with two subjects. Change: dissemination.py (which records a datagram carries), demo/program.py (one process), standin_behaviour.py, tests/played.py, and a file each for the sessions of an entry node and a target's node.

--- a/bluebellsill/swim.py
+++ b/bluebellsill/swim.py
@@ -9,12 +9,11 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from heapq import nsmallest
-from math import ceil, log2
 from typing import TYPE_CHECKING
 
 from msgspec.structs import replace
 
+from bluebellsill.dissemination import MAX_UPDATES, Dissemination
 from bluebellsill.gossip_messages import (
     Ack,
     Member,
@@ -38,12 +37,10 @@
 _SUSPICION = 2.5  # seconds until a suspected member is gone
 _HELPERS = 2
 _PUSH_FANOUT = 3
-_MAX_UPDATES = 12  # records in one datagram
 _MAX_EXTRA = 8  # pings in one period beyond the usual one
 _SYNC_PERIODS = 10
 _SYNC_RECORDS = 120  # records answered to one request
 _GONE_PERIODS = 6
-_RETRANSMIT_FACTOR = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,7 +93,7 @@
         self._probes: dict[int, _Probe] = {}
         self._relays: dict[int, _Relay] = {}
         self._suspected_at_by_id: dict[str, float] = {}
-        self._sent_by_id: dict[str, int] = {}
+        self._news = Dissemination(members)
         self._ring: list[str] = []
         self._pool: list[str] = []
         self._pool_is_current = False
@@ -193,10 +190,8 @@
 
     def _push_backlog(self) -> list[Send]:
         """Send more than the usual news after many changes at once."""
-        backlog = len(self._sent_by_id) // _MAX_UPDATES
-        return [
-            self._ping(one) for one in self._sample(min(backlog, _MAX_EXTRA))
-        ]
+        extra = min(self._news.backlog, _MAX_EXTRA)
+        return [self._ping(one) for one in self._sample(extra)]
 
     def _on_ping(self, ping: Ping, now: float) -> list[Send]:
         self._merge(ping.sender, ping.updates, now)
@@ -205,7 +200,7 @@
             self.members.own.id,
             self.members.own,
             self._revision(),
-            self._news(about=ping.sender.id),
+            self._news.take(about=ping.sender.id),
         )
         return [Send(ping.sender.id, ack)]
 
@@ -233,7 +228,7 @@
     def _on_change(self, known: Member | None, record: Member) -> None:
         self._pool_is_current = False
         if self._is_news or record.id == self.members.own.id:
-            self._sent_by_id[record.id] = 0
+            self._news.add(record.id)
         if record.state == MemberState.SUSPECT:
             self._suspected_at_by_id.setdefault(record.id, self._now)
         else:
@@ -289,7 +284,7 @@
 
     def _ping(self, address: str) -> Send:
         own = self.members.own
-        updates = self._news(about=address)
+        updates = self._news.take(about=address)
         ping = Ping(self.next_sequence, own, self._revision(), updates)
         self.next_sequence += 1
         return Send(address, ping)
@@ -299,29 +294,6 @@
         helpers = self._sample(_HELPERS, besides=target.id)
         return [Send(helper, request) for helper in helpers]
 
-    def _news(self, about: str) -> list[Member]:
-        """Return the news passed on least often, and what is said of one."""
-        limit = _RETRANSMIT_FACTOR * ceil(log2(len(self.members.by_id) + 1))
-        fresh = nsmallest(
-            _MAX_UPDATES,
-            self._sent_by_id.items(),
-            key=lambda pair: pair[1],
-        )
-        updates: list[Member] = []
-        subject = self.members.by_id.get(about)
-        if subject is not None and subject.state >= MemberState.SUSPECT:
-            # A suspected member must hear of it to refute it.
-            updates.append(subject)
-        for member_id, sent in fresh:
-            record = self.members.by_id.get(member_id)
-            if record is None or sent + 1 >= limit:
-                del self._sent_by_id[member_id]
-            else:
-                self._sent_by_id[member_id] = sent + 1
-            if record is not None and record is not subject:
-                updates.append(record)
-        return updates
-
     def _start_sync(self) -> list[Send]:
         own_id = self.members.own.id
         strangers = [seed for seed in self.seeds if seed != own_id]
@@ -345,10 +317,10 @@
             Send(
                 request.sender.id,
                 Sync(
-                    own, self._revision(), records[start : start + _MAX_UPDATES]
+                    own, self._revision(), records[start : start + MAX_UPDATES]
                 ),
             )
-            for start in range(0, max(1, len(records)), _MAX_UPDATES)
+            for start in range(0, max(1, len(records)), MAX_UPDATES)
         ]
 
     def _knock(self) -> list[Send]:
--- a/demo/kill_sweep.py
+++ b/demo/kill_sweep.py
@@ -21,8 +21,9 @@
 from typing import TYPE_CHECKING
 
 from bluebellsill.rendezvous import rank
-from demo.harness import Deployment, Pair, Process, deployment
+from demo.harness import Deployment, Pair, deployment
 from demo.ledger import Ledger, ledger
+from demo.program import Process
 from tests.callers import Outcome, call, new_key
 
 if TYPE_CHECKING:
