Let the target's node settle a key whose entry node is gone

Ruled out: a longer claim (it only delays the same answer); settling always from the target's node (twice the messages, for the rare case). Change: a call with a key carries the key and who granted it; if the entry's connection is gone when the target answers, the target's node tells the holders. Only whole answers are told: what did not run may have been tried elsewhere.

--- a/bluebellsill/calls.py
+++ b/bluebellsill/calls.py
@@ -105,6 +105,8 @@
             inbound.is_idempotent,
             inbound.fingerprint,
             inbound.correlation,
+            inbound.scoped_key if inbound.granted_by else '',
+            inbound.granted_by,
         )
 
     def _on_reply(self, reply: Reply) -> None:
--- a/bluebellsill/filters.py
+++ b/bluebellsill/filters.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
 from result import Err, Ok, Result
@@ -51,6 +51,7 @@
         deadline: When the caller waits no longer.
         fingerprint: A hash that equal requests share.
         tenant: Whom the call is counted for.
+        granted_by: The nodes that hold the claim of the key.
     """
 
     request: Request
@@ -63,6 +64,7 @@
     deadline: float = 0
     fingerprint: int = 0
     tenant: str = ''
+    granted_by: list[str] = field(default_factory=list)
 
     @property
     def is_idempotent(self) -> bool:
--- a/bluebellsill/keyed_call.py
+++ b/bluebellsill/keyed_call.py
@@ -159,6 +159,7 @@
         if len(self._granted) < len(self._holders):
             self._claim_next()
         elif self._is_certain:
+            self._inbound.granted_by = self._granted
             self._run(self._on_run)
         else:
             message = 'the record of this key may be lost; it may have run'
--- a/bluebellsill/messages.py
+++ b/bluebellsill/messages.py
@@ -78,7 +78,10 @@
         priority: Lower is shed first.
         is_idempotent: Whether running it twice does no harm.
         fingerprint: A hash that equal requests share.
-        correlation: Names the call in the logs of all nodes.
+        correlation: Names the call in the logs of all nodes, and the owner
+            of the claim of its key.
+        key: The scoped idempotency key, or empty.
+        holders: The nodes that hold the claim of the key.
     """
 
     id: int
@@ -92,6 +95,8 @@
     is_idempotent: bool
     fingerprint: int
     correlation: str
+    key: str = ''
+    holders: list[str] = field(default_factory=list)
 
 
 class Answer(WireMessage, frozen=True, tag=5):
--- a/bluebellsill/peer_calls.py
+++ b/bluebellsill/peer_calls.py
@@ -4,7 +4,15 @@
 
 from typing import TYPE_CHECKING
 
-from bluebellsill.messages import Call, Cancel, Claim, Message, Settle
+from bluebellsill.idempotency import Outcome
+from bluebellsill.messages import (
+    Answer,
+    Call,
+    Cancel,
+    Claim,
+    Message,
+    Settle,
+)
 
 if TYPE_CHECKING:
     from bluebellsill.key_registry import KeyRegistry
@@ -38,12 +46,27 @@
             is_done = True
             cancels.pop(call.id, None)
             connection.send(reply)
+            if connection.stream.is_closed and isinstance(reply, Answer):
+                self._settle(call, reply)
 
         run = self._runner.run(call, respond)
         # Only what runs and may be run twice is cancelled with its entry.
         if run is not None and call.is_idempotent and not is_done:
             cancels[call.id] = lambda: self._runner.cancel(run)
 
+    def _settle(self, call: Call, answer: Answer) -> None:
+        """Tell the holders of a key of an answer whose entry node is gone."""
+        settle = Settle(
+            call.key,
+            call.correlation,
+            int(Outcome.ANSWERED),
+            answer.status,
+            answer.headers,
+            answer.body,
+        )
+        for holder in call.holders:
+            self._keys.settle(holder, settle)
+
     def _on_cancel(self, connection: PeerConnection, cancel: Cancel) -> None:
         on_cancel = connection.on_cancel_by_id.pop(cancel.id, None)
         if on_cancel is not None:
--- a/tests/features/payments.feature
+++ b/tests/features/payments.feature
@@ -32,3 +32,10 @@
       | entry node   | first holder       |
       | first holder | target             |
       | entry node   | node of the target |
+
+  Scenario: A payment whose entry node dies is answered when sent again
+    Given 6 bookings targets over the zones a, b, c, whose orders a ledger counts
+    When the entry node of a payment of 400 ms is killed
+    And its key is sent through the others for 4 seconds
+    Then it has taken effect once
+    And the last answer is whole
--- /dev/null
+++ b/tests/test_peer_calls.py
@@ -0,0 +1,85 @@
+"""What the target's node does with answers that nobody waits for."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from bluebellsill.idempotency import Outcome
+from bluebellsill.messages import Answer, Call, Failure, Refusal, Settle
+from bluebellsill.peer_calls import PeerCalls
+
+_HOLDERS = ['10.0.0.2:1', '10.0.0.3:1']
+_ANSWER = Answer(1, 200, [('x-a', 'b')], b'paid', 0, 6)
+
+
+class Setting:
+    """A target's node that was handed one call by an entry node."""
+
+    def __init__(self, key: str = 'tenant\0s\0key') -> None:
+        self.sent: list[Any] = []
+        self.settled: list[tuple[str, Settle]] = []
+        self.respond: Any = None
+        self.stream = SimpleNamespace(is_closed=False)
+        connection: Any = SimpleNamespace(
+            on_cancel_by_id={},
+            stream=self.stream,
+            send=self.sent.append,
+        )
+        handlers: dict[type, Any] = {}
+        server: Any = SimpleNamespace(on=handlers.__setitem__)
+        runner: Any = SimpleNamespace(run=self._run)
+        keys: Any = SimpleNamespace(
+            settle=lambda holder, one: self.settled.append((holder, one)),
+        )
+        PeerCalls(runner, keys).serve(server)
+        holders = _HOLDERS if key else []
+        call = Call(
+            1, 's', 'POST', '/s', [], b'', 9, 1, False, 7, 'me', key, holders
+        )
+        handlers[Call](connection, call)
+
+    def _run(self, call: Call, respond: Any) -> None:
+        self.respond = respond
+
+
+def test_answer_for_an_entry_that_is_gone_goes_to_the_holders() -> None:
+    setting = Setting()
+    setting.stream.is_closed = True
+    setting.respond(_ANSWER)
+    settle = Settle(
+        'tenant\0s\0key',
+        'me',
+        int(Outcome.ANSWERED),
+        200,
+        [('x-a', 'b')],
+        b'paid',
+    )
+    assert setting.settled == [(holder, settle) for holder in _HOLDERS]
+
+
+def test_entry_that_is_there_settles_itself() -> None:
+    setting = Setting()
+    setting.respond(_ANSWER)
+    assert setting.sent == [_ANSWER]
+    assert setting.settled == []
+
+
+@pytest.mark.parametrize(
+    'reply',
+    [Refusal(1, 'overloaded', 6, 6), Failure(1, 'timed_out', False)],
+)
+def test_only_whole_answers_are_settled_for_another(reply: Any) -> None:
+    setting = Setting()
+    setting.stream.is_closed = True
+    setting.respond(reply)
+    assert setting.settled == []
+
+
+def test_call_without_a_key_has_nothing_to_settle() -> None:
+    setting = Setting(key='')
+    setting.stream.is_closed = True
+    setting.respond(_ANSWER)
+    assert setting.settled == []
