--- a/demo/kill_sweep.py
+++ b/demo/kill_sweep.py
@@ -75,13 +75,15 @@
         places = [('abc'[one % 3], _SERVICE) for one in range(_SIZE)]
         running.start_pairs(places, self._behaviour)
         running.declare({_SERVICE: {'expected_targets': _SIZE}})
+        # A node without a target, so that no role falls on it twice.
+        running.add('a', '')
+        running.wait_ready()
         sleep(_CERTAIN)
 
     def play(self, found: Round) -> Round:
         """Play one round and replace what was killed."""
-        pairs = self._running.pairs
-        entry = pairs[0]
-        key = self._key(entry)
+        entry = self._running.of_service('')[0]
+        key = new_key()
         with ThreadPoolExecutor(1) as pool:
             first = pool.submit(_pay, key, entry)
             sleep(found.delay_ms / 1000)
@@ -96,15 +98,8 @@
         self._replace(found, victim)
         return found
 
-    def _key(self, entry: Pair) -> str:
-        """Return a key whose holders are not the entry node."""
-        while True:
-            key = new_key()
-            if entry.id not in self._holders(key):
-                return key
-
     def _holders(self, key: str) -> list[str]:
-        ids = [pair.id for pair in self._running.pairs]
+        ids = [pair.id for pair in self._running.of_service(_SERVICE)]
         return rank(f'outside\0{_SERVICE}\0{key}', ids, 2)
 
     def _victim(self, role: str, key: str, entry: Pair) -> Pair:
@@ -120,7 +115,7 @@
 
     def _running_pair(self) -> Pair | None:
         """Return the pair whose target runs the payment, if one does."""
-        for pair in self._running.pairs:
+        for pair in self._running.of_service(_SERVICE):
             if pair.target_stats()['running']:
                 return pair
         return None
@@ -181,7 +176,7 @@
             seeds = [pair.id for pair in running.pairs]
             running.add(
                 victim.zone,
-                _SERVICE,
+                victim.service,
                 behaviour=self._behaviour,
                 seeds=seeds,
                 port=int(victim.id.rpartition(':')[2]),
