Do not take load that a service below sheds for the target's own

Cause: read in the code, shown by the session of a chain, which failed first: a 503 passed on from the service below halved the limit of a healthy target (4 to 2), so that an overload at the end of a chain closes the steps above it. Change: an answer after a failed onward call does not touch the ramp.

--- a/bluebellsill/target_runner.py
+++ b/bluebellsill/target_runner.py
@@ -249,11 +249,14 @@
         now = self._clock.now()
         self._watch.on_answer()
         is_error = response.status >= HTTPStatus.INTERNAL_SERVER_ERROR
-        if response.status == HTTPStatus.SERVICE_UNAVAILABLE:
-            self.gate.ramp.on_shed()
-        elif not is_error:
+        has_failed_below = run.has_failed_below and is_error
+        if not is_error:
             latency = now - run.ticket.started_at
             self.gate.ramp.on_answer(latency, self.gate.in_flight)
+        elif response.status == HTTPStatus.SERVICE_UNAVAILABLE:
+            # What a service below sheds says nothing of this target.
+            if not has_failed_below:
+                self.gate.ramp.on_shed()
         if self._quarantine.on_answer(call.fingerprint):
             self._owner.on_cleared(call.fingerprint)
         run.respond(
@@ -264,7 +267,7 @@
                 response.body,
                 self.gate.load - 1,
                 self.gate.limit,
-                run.has_failed_below and is_error,
+                has_failed_below,
             ),
         )
 
--- a/tests/test_target_sessions.py
+++ b/tests/test_target_sessions.py
@@ -93,6 +93,15 @@
     session.reply(_answer(500))
     session.answers(502)
 
+    session.title('Load that a service below sheds does not lower the limit')
+    session.runner.gate.ramp.limit = 4
+    session.hand('order', '/bookings/order')
+    onward(bluebellsill_correlation='order', caller=_SERVICE)
+    session.reply(_answer(503))
+    session.reply(_answer(503))
+    session.answers(503)
+    assert session.runner.gate.limit == 4
+
     session.title('A target that copes without it has not failed')
     session.hand('order', '/bookings/order')
     onward(bluebellsill_correlation='order', caller=_SERVICE)
