--- a/bluebellsill/_signals.py
+++ b/bluebellsill/_signals.py
@@ -1,4 +1,4 @@
-"""Turns SIGTERM and SIGINT into a callback in the event loop."""
+"""Turns signals into callbacks in the event loop."""
 
 from __future__ import annotations
 
@@ -13,20 +13,30 @@
 
 
 _MAX_SIGNALS = 64
+_STOPS = frozenset((signal.SIGTERM, signal.SIGINT))
 
 
-class StopSignals:
-    """Calls back once, when the process is asked to stop."""
+class SignalSource:
+    """Calls back once for a stop, and for each request to reload."""
 
-    def __init__(self, reactor: Reactor, on_stop: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        reactor: Reactor,
+        on_stop: Callable[[], None],
+        on_reload: Callable[[], None] | None,
+    ) -> None:
         """Take over the signals; call this in the main thread."""
         self._on_stop: Callable[[], None] | None = on_stop
+        self._on_reload = on_reload
         self._receiver, self._sender = socketpair()
         self._receiver.setblocking(False)
         self._sender.setblocking(False)
         reactor.add(self)
         signal.set_wakeup_fd(self._sender.fileno())
-        for number in (signal.SIGTERM, signal.SIGINT):
+        taken = set(_STOPS)
+        if on_reload is not None:
+            taken.add(signal.SIGHUP)
+        for number in taken:
             signal.signal(number, _ignore)
 
     def fileno(self) -> int:
@@ -34,20 +44,32 @@
         return self._receiver.fileno()
 
     def on_readable(self) -> None:
-        """Call back for the first signal."""
-        self._receiver.recv(_MAX_SIGNALS)
+        """Call back for the signals that have arrived."""
+        numbers = set(self._receiver.recv(_MAX_SIGNALS))
+        if signal.SIGHUP in numbers and self._on_reload is not None:
+            self._on_reload()
         on_stop = self._on_stop
-        self._on_stop = None
-        if on_stop is not None:
+        if on_stop is not None and numbers & _STOPS:
+            self._on_stop = None
             on_stop()
 
     def on_writable(self) -> None:
         """Do nothing: nothing is written here."""
 
 
-def take_stop_signals(reactor: Reactor, on_stop: Callable[[], None]) -> None:
-    """Call back in the loop of ``reactor`` once a stop is asked for."""
-    StopSignals(reactor, on_stop)
+def take_signals(
+    reactor: Reactor,
+    on_stop: Callable[[], None],
+    on_reload: Callable[[], None] | None = None,
+) -> None:
+    """Call back in the loop of ``reactor``.
+
+    Args:
+        reactor: The loop.
+        on_stop: Called once, for SIGTERM or SIGINT.
+        on_reload: Called for each SIGHUP; None leaves it to the system.
+    """
+    SignalSource(reactor, on_stop, on_reload)
 
 
 def _ignore(number: int, frame: object) -> None:
--- a/bluebellsill/acceptance.py
+++ b/bluebellsill/acceptance.py
@@ -9,8 +9,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from bluebellsill.configuration import Configuration
     from bluebellsill.membership import Members
+    from bluebellsill.placement import OperatorWishes
 
 __all__ = ('Acceptance',)
 
@@ -21,27 +21,27 @@
     def __init__(
         self,
         members: Members,
-        configuration: Configuration,
+        wishes: OperatorWishes,
         is_fresh: Callable[[], bool],
     ) -> None:
         """Create a node's acceptance.
 
         Args:
             members: Tell the own node and its zone.
-            configuration: Tells what operators took out.
+            wishes: Tell what operators took out.
             is_fresh: Returns whether what this node knows is not old.
         """
         self.is_leaving = False
         self._members = members
-        self._configuration = configuration
+        self._wishes = wishes
         self._is_fresh = is_fresh
 
     def refusal(self) -> ErrorKind | None:
         """Return why new work is refused, if it is."""
         own = self._members.own
-        if self._configuration.is_zone_out(own.zone):
+        if self._wishes.is_zone_out(own.zone):
             return ErrorKind.ZONE_OUT
-        if self._configuration.is_target_out(own.id):
+        if self._wishes.is_target_out(own.id):
             return ErrorKind.TARGET_OUT
         if self.is_leaving:
             return ErrorKind.LEAVING
--- a/bluebellsill/admission.py
+++ b/bluebellsill/admission.py
@@ -4,10 +4,11 @@
 
 from dataclasses import dataclass
 from enum import Enum, unique
+from typing import Protocol
 
 from bluebellsill.ramp import Ramp
 
-__all__ = ('Decision', 'Gate', 'Ticket')
+__all__ = ('Admission', 'Decision', 'Gate', 'Ticket')
 
 QUEUE_WAIT = 0.05  # seconds that a call may wait however fast answers are
 
@@ -30,12 +31,74 @@
         expires_at: When nobody waits for the answer any more.
         leaves_queue_at: When the call stops waiting for a slot.
         started_at: When the call went to the target.
+        wanted_at: Until when an answer is of full use, 0 if nobody says.
+        route: Names requests that take about as long.
+        is_inner: Whether a request that runs waits for the call.
+        retry_after: Seconds after which a refused call may find a slot.
     """
 
     priority: int
     expires_at: float
     leaves_queue_at: float = 0
     started_at: float = 0
+    wanted_at: float = 0
+    route: str = ''
+    is_inner: bool = False
+    retry_after: float = 0
+
+
+class Admission(Protocol):
+    """Decides which calls run at a target, wait or are refused."""
+
+    @property
+    def in_flight(self) -> int:
+        """The number of calls that run."""
+
+    @property
+    def load(self) -> int:
+        """The number of calls that run or wait."""
+
+    @property
+    def limit(self) -> int:
+        """The number of calls that may run."""
+
+    def offer(
+        self, ticket: Ticket, now: float
+    ) -> tuple[Decision, Ticket | None]:
+        """Take in a call; return what happens to it and whom it sheds."""
+
+    def finish(self, ticket: Ticket) -> None:
+        """Free the slot of a call that has ended."""
+
+    def withdraw(self, ticket: Ticket) -> bool:
+        """Take a waiting call out; return whether it was waiting."""
+
+    def admit(self, now: float) -> list[Ticket]:
+        """Start as many waiting calls as the target bears."""
+
+    def expire(self, now: float) -> list[Ticket]:
+        """Take out the calls that have waited long enough."""
+
+    def drop_queue(self) -> list[Ticket]:
+        """Take out every waiting call."""
+
+    def next_start(self, now: float) -> float | None:
+        """Return the seconds until ``admit`` is due, None if nothing is."""
+
+    def on_answer(self, ticket: Ticket, now: float) -> None:
+        """Take in a whole answer."""
+
+    def on_shed(self) -> None:
+        """The target said that it bears no more."""
+
+    def on_cold(self) -> None:
+        """The target is new, has restarted or crashed."""
+
+    def set_cold(self, cold_until: float, per_second: float) -> None:
+        """Bound the starts in a second until a time."""
+
+    def resize(self, slots: int) -> None:
+        """Set what the target bears when warm."""
 
 
 class Gate:
@@ -127,6 +190,35 @@
             self._queue.remove(ticket)
         return expired
 
+    def drop_queue(self) -> list[Ticket]:
+        """Take out every waiting call."""
+        dropped = self._queue
+        self._queue = []
+        return dropped
+
+    def next_start(self, now: float) -> float | None:
+        """Return None: whatever waits, waits for a slot."""
+        return None
+
+    def on_answer(self, ticket: Ticket, now: float) -> None:
+        """Take in a whole answer."""
+        self.ramp.on_answer(now - ticket.started_at, self.in_flight)
+
+    def on_shed(self) -> None:
+        """Lower the limit: the target said that it bears no more."""
+        self.ramp.on_shed()
+
+    def on_cold(self) -> None:
+        """Start to ramp up again."""
+        self.ramp.on_cold()
+
+    def set_cold(self, cold_until: float, per_second: float) -> None:
+        """Do nothing: the ramp finds out what the target bears."""
+
+    def resize(self, slots: int) -> None:
+        """Set what the target bears when warm."""
+        self.ramp.resize(slots)
+
     def _patience(self, ticket: Ticket, now: float) -> float:
         """Return how long waiting makes sense, in seconds.
 
--- a/bluebellsill/calls.py
+++ b/bluebellsill/calls.py
@@ -6,9 +6,10 @@
 
 from bluebellsill.dispatch import Dispatch, Place
 from bluebellsill.errors import ErrorKind, Problem
-from bluebellsill.http import Response, end_to_end
+from bluebellsill.http import Headers, Response
 from bluebellsill.messages import Answer, Call, Cancel, Failure, Refusal
 from bluebellsill.peers import LinkLost, PeerLinks
+from bluebellsill.resources import OUTSIDE
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -20,10 +21,6 @@
 __all__ = ('PlacedCall',)
 
 _REPLY_MARGIN = 0.05  # seconds that the node gets beyond the try's budget
-_NOT_FORWARDED = frozenset(
-    ('host', 'bluebellsill-deadline-ms', 'bluebellsill-correlation'),
-)
-
 Reply = Answer | Refusal | Failure | LinkLost
 
 
@@ -37,31 +34,42 @@
         links: PeerLinks,
         runner: TargetRunner,
         own_id: str,
+        headers: Headers,
         on_done: Callable[[Response | Problem], None],
     ) -> None:
-        """Prepare a call; ``start`` begins it."""
+        """Prepare a call; ``start`` begins it.
+
+        Args:
+            inbound: The caller's request.
+            dispatch: Decides where the call goes.
+            links: Reach the nodes beside other targets.
+            runner: Reaches the target beside this node.
+            own_id: Names this node.
+            headers: What the target gets of the caller's headers.
+            on_done: Called once with the outcome.
+        """
         self.dispatch = dispatch
         self._inbound = inbound
         self._links = links
         self._runner = runner
         self._own_id = own_id
         self._on_done: Callable[[Response | Problem], None] | None = on_done
-        self._headers = [
-            pair
-            for pair in end_to_end(inbound.request.headers)
-            if pair[0] not in _NOT_FORWARDED
-        ]
+        self._headers = headers
         self._timer: Timer | None = None
         self._local_run: Run | None = None
         self._request_id = 0
-        self._node_id = ''
+        self.node_id = ''
 
     def start(self) -> None:
         """Send the call to the first target."""
         self._act(self.dispatch.start())
 
     def cancel(self) -> None:
-        """Stop: nobody waits for the answer any more."""
+        """Stop: nobody waits for the answer any more.
+
+        The target's node takes the call out of its queue. What runs goes
+        on if it is not idempotent.
+        """
         if self._on_done is None:
             return
         self._on_done = None
@@ -74,7 +82,7 @@
             return
         call = self._call(decision)
         self._request_id = call.id
-        self._node_id = decision.node_id
+        self.node_id = decision.node_id
         self._timer = self._links.reactor.timers.after(
             decision.seconds + _REPLY_MARGIN,
             self._on_timeout,
@@ -101,14 +109,25 @@
             self._headers,
             request.body,
             int(place.seconds * 1000),
-            inbound.request_class.priority.rank,
+            inbound.route.importance,
             inbound.is_idempotent,
             inbound.fingerprint,
             inbound.correlation,
             inbound.scoped_key if inbound.granted_by else '',
             inbound.granted_by,
+            self._target_latency_ms(),
+            inbound.route.name,
+            inbound.caller != OUTSIDE,
         )
 
+    def _target_latency_ms(self) -> int:
+        """Return what is left of the time in which an answer is of full use."""
+        inbound = self._inbound
+        if not inbound.route.target_latency:
+            return 0
+        elapsed = self._links.now() - inbound.received_at
+        return max(1, int((inbound.route.target_latency - elapsed) * 1000))
+
     def _on_reply(self, reply: Reply) -> None:
         self._end_try(is_cancelled=False)
         if isinstance(reply, Answer):
@@ -116,10 +135,16 @@
         elif isinstance(reply, Refusal):
             kind = _kind(reply.kind)
             self._act(
-                self.dispatch.on_refusal(kind, reply.in_flight, reply.limit),
+                self.dispatch.on_refusal(
+                    kind,
+                    reply.in_flight,
+                    reply.limit,
+                    has_arrived=reply.has_arrived,
+                    retry_after=reply.retry_ms / 1000,
+                ),
             )
         elif isinstance(reply, Failure):
-            message = f'target beside {self._node_id} gave no whole answer'
+            message = f'target beside {self.node_id} gave no whole answer'
             self._act(
                 self.dispatch.on_failure(
                     _kind(reply.kind),
@@ -128,7 +153,7 @@
                 ),
             )
         elif reply.is_sent:
-            message = f'connection to {self._node_id} lost: {reply.reason}'
+            message = f'connection to {self.node_id} lost: {reply.reason}'
             kind = ErrorKind.TARGET_FAILED
             self._act(self.dispatch.on_failure(kind, message))
         else:
@@ -149,7 +174,7 @@
 
     def _on_timeout(self) -> None:
         self._end_try(is_cancelled=self._inbound.is_idempotent)
-        message = f'no answer from {self._node_id} in time'
+        message = f'no answer from {self.node_id} in time'
         self._act(self.dispatch.on_failure(ErrorKind.TIMED_OUT, message))
 
     def _end_try(self, *, is_cancelled: bool) -> None:
@@ -161,12 +186,12 @@
         self._local_run = None
         if not is_cancelled or not request_id:
             return
-        if self._node_id == self._own_id:
+        if self.node_id == self._own_id:
             if run is not None:
                 self._runner.cancel(run)
             return
-        self._links.forget(self._node_id, request_id)
-        self._links.send(self._node_id, Cancel(request_id))
+        self._links.forget(self.node_id, request_id)
+        self._links.send(self.node_id, Cancel(request_id))
 
     def _finish(self, outcome: Response | Problem) -> None:
         on_done = self._on_done
--- a/bluebellsill/choice.py
+++ b/bluebellsill/choice.py
@@ -8,7 +8,7 @@
 if TYPE_CHECKING:
     from random import Random
 
-    from bluebellsill.routing import TargetView
+    from bluebellsill.target_view import TargetView
 
 __all__ = (
     'Choice',
--- a/bluebellsill/configuration.py
+++ b/bluebellsill/configuration.py
@@ -42,7 +42,7 @@
 _SHIFT_NAME = 'current'
 
 
-class ConfigurationError(Exception):
+class ConfigurationError(ValueError):
     """A record of the configuration is not what the system wrote."""
 
 
@@ -221,6 +221,23 @@
         ]
         return Snapshot(self.revision, stored)
 
+    def export(self, after: int) -> tuple[bytes, list[bytes]]:
+        """Return what a node at an older revision lacks."""
+        changes = self.changes_after(after)
+        if changes is None:
+            return msgspec.json.encode(self.snapshot()), []
+        return b'', [msgspec.json.encode(change) for change in changes]
+
+    def merge(self, snapshot: bytes, changes: list[bytes], peer: str) -> None:
+        """Take in what a peer has exported.
+
+        Raises:
+            ConfigurationError: The peer sent something else.
+        """
+        if snapshot:
+            self.apply_snapshot(decode_snapshot(snapshot))
+        self.apply_changes(decode_change(change) for change in changes)
+
     def get(self, kind: Kind, name: str) -> Resource | None:
         """Return one resource."""
         return self._resources_by_key.get((kind, name))
--- a/bluebellsill/dispatch.py
+++ b/bluebellsill/dispatch.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
@@ -12,11 +12,12 @@
 if TYPE_CHECKING:
     from bluebellsill.clock import Clock
     from bluebellsill.retries import RetryBudget
-    from bluebellsill.routing import Router, TargetView
+    from bluebellsill.routing import Router
+    from bluebellsill.target_view import TargetView
 
 __all__ = ('Dispatch', 'Place')
 
-_MAX_TRIES = 4
+_MAX_TRIES = 4  # nodes that are asked to take one call
 _RETRYABLE_STATUSES = frozenset(
     (
         HTTPStatus.INTERNAL_SERVER_ERROR,
@@ -52,6 +53,7 @@
         *,
         deadline: float,
         is_idempotent: bool,
+        max_sends: int = _MAX_TRIES,
     ) -> None:
         """Prepare a call.
 
@@ -61,12 +63,16 @@
             clock: Tells the time.
             deadline: When nobody waits any more.
             is_idempotent: Whether running twice does no harm.
+            max_sends: How many targets may be handed the call.
         """
         self._router = router
         self._budget = budget
         self._clock = clock
         self._deadline = deadline
         self._is_idempotent = is_idempotent
+        self._max_sends = max_sends
+        self._sends = 0
+        self._retry_after: float = 0
         self._tried: list[str] = []
         self._view: TargetView | None = None
         self._sent_at: float = 0
@@ -75,6 +81,7 @@
 
     def start(self) -> Place | Problem:
         """Choose the first target."""
+        self._budget.on_time(self._clock.now())
         self._budget.on_call()
         return self._place(Problem(ErrorKind.NO_TARGET, 'no target is ready'))
 
@@ -101,6 +108,7 @@
         """
         now = self._clock.now()
         view = self._end_try()
+        self._sends += 1
         if view is not None:
             view.on_report(load, limit, now)
             if status < HTTPStatus.INTERNAL_SERVER_ERROR:
@@ -123,18 +131,36 @@
         kind: ErrorKind,
         load: int,
         limit: int,
+        *,
+        has_arrived: bool = False,
+        retry_after: float = 0,
     ) -> Place | Problem:
-        """Take in a refusal: the target never saw the call."""
+        """Take in a refusal: the target did not run the call.
+
+        Args:
+            kind: Why it was refused.
+            load: The calls that run or wait there.
+            limit: The calls that may run there.
+            has_arrived: Whether the target itself refused the call, and
+                not the node beside it.
+            retry_after: Seconds until a slot is free there, 0 if unknown.
+        """
         view = self._end_try()
         now = self._clock.now()
+        self._sends += has_arrived
+        if retry_after:
+            soonest = self._retry_after or retry_after
+            self._retry_after = min(soonest, retry_after)
         if view is not None:
             view.on_report(max(load, limit), limit, now)
             if kind is not ErrorKind.OVERLOADED:
                 view.on_failure(now)
+            elif has_arrived:
+                view.on_error_status(now)
         problem = Problem(kind, f'refused by {self._tried[-1]}')
         if not ANSWERS_BY_KIND[kind].is_retryable_elsewhere:
             return self._final(problem)
-        if not self._budget.take(was_dispatched=False):
+        if not self._budget.take(was_dispatched=has_arrived):
             return self._final(problem)
         return self._place(problem)
 
@@ -153,6 +179,7 @@
             has_crashed: Whether the target has crashed with the call.
         """
         self.may_have_run = True
+        self._sends += 1
         self._crashes += has_crashed
         view = self._end_try()
         now = self._clock.now()
@@ -175,7 +202,10 @@
     def _place(self, problem: Problem) -> Place | Problem:
         now = self._clock.now()
         left = self._deadline - now
-        if len(self._tried) >= _MAX_TRIES or left < _MIN_BUDGET:
+        is_spent = len(self._tried) >= _MAX_TRIES or (
+            self._sends >= self._max_sends
+        )
+        if is_spent or left < _MIN_BUDGET:
             return self._final(problem)
         view = self._router.choose(self._tried, now)
         if view is None:
@@ -192,7 +222,11 @@
         Half of what is left is kept for another try, should this one
         hang, unless the target's usual latency does not allow for it.
         """
-        is_last = len(self._tried) == _MAX_TRIES or not self._is_idempotent
+        is_last = (
+            not self._is_idempotent
+            or len(self._tried) == _MAX_TRIES
+            or self._sends + 1 >= self._max_sends
+        )
         is_known = view.latency_at > 0
         patience = _PATIENCE * view.latency if is_known else left
         return left if is_last or patience > left / 2 else left / 2
@@ -208,4 +242,6 @@
         if self.may_have_run and problem.answer.run is Run.NOT_RUN:
             # An earlier try may have run, whatever became of the last one.
             return Problem(ErrorKind.TARGET_FAILED, problem.message)
+        if self._retry_after:
+            return replace(problem, retry_after=self._retry_after)
         return problem
--- a/bluebellsill/errors.py
+++ b/bluebellsill/errors.py
@@ -28,6 +28,8 @@
     UNAUTHORIZED = 'unauthorized'
     FORBIDDEN_CALLER = 'forbidden_caller'
     UNKNOWN_SERVICE = 'unknown_service'
+    UNKNOWN_ROUTE = 'unknown_route'
+    NOT_CONFIGURED = 'not_configured'
     UNKNOWN_RESOURCE = 'unknown_resource'
     METHOD_NOT_ALLOWED = 'method_not_allowed'
     INVALID_RESOURCE = 'invalid_resource'
@@ -83,6 +85,8 @@
     ErrorKind.UNAUTHORIZED: ErrorAnswer(HTTPStatus.UNAUTHORIZED),
     ErrorKind.FORBIDDEN_CALLER: ErrorAnswer(HTTPStatus.FORBIDDEN),
     ErrorKind.UNKNOWN_SERVICE: ErrorAnswer(HTTPStatus.NOT_FOUND),
+    ErrorKind.UNKNOWN_ROUTE: ErrorAnswer(HTTPStatus.NOT_FOUND),
+    ErrorKind.NOT_CONFIGURED: _ELSEWHERE,
     ErrorKind.UNKNOWN_RESOURCE: ErrorAnswer(HTTPStatus.NOT_FOUND),
     ErrorKind.METHOD_NOT_ALLOWED: ErrorAnswer(HTTPStatus.METHOD_NOT_ALLOWED),
     ErrorKind.INVALID_RESOURCE: ErrorAnswer(HTTPStatus.UNPROCESSABLE_ENTITY),
@@ -136,10 +140,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Problem:
-    """One failure: its kind and a message for a person."""
+    """One failure.
+
+    Attributes:
+        kind: What went wrong.
+        message: The same for a person.
+        retry_after: Seconds after which another try may succeed, 0 if
+            nobody knows.
+    """
 
     kind: ErrorKind
     message: str
+    retry_after: float = 0
 
     @property
     def answer(self) -> ErrorAnswer:
--- a/bluebellsill/filters.py
+++ b/bluebellsill/filters.py
@@ -9,7 +9,8 @@
 from xxhash import xxh3_64
 
 from bluebellsill.errors import ErrorKind, Problem
-from bluebellsill.resources import OUTSIDE, RequestClass, Service
+from bluebellsill.resources import OUTSIDE, Service
+from bluebellsill.route import Part, Route
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -34,6 +35,7 @@
 _MAX_TENANT = 64  # characters
 _MAX_KEY_LENGTH = 200  # characters
 _IDEMPOTENT = frozenset(('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE', 'TRACE'))
+_MAX_SENDS = 4  # targets that one call may be handed to
 
 
 @dataclass(slots=True)
@@ -45,9 +47,9 @@
         caller: ``outside`` or the service of the calling target.
         correlation: Names the call in the logs of all nodes.
         received_at: When it arrived, in seconds.
-        service_name: The first segment of the path.
+        service_name: The service that the call goes to.
         service: The declared service.
-        request_class: The class of the request within the service.
+        route: How the request is handled.
         deadline: When the caller waits no longer.
         fingerprint: A hash that equal requests share.
         tenant: Whom the call is counted for.
@@ -60,7 +62,7 @@
     received_at: float
     service_name: str = ''
     service: Service = Service()
-    request_class: RequestClass = Service().class_of('/')
+    route: Route = Route('')
     deadline: float = 0
     fingerprint: int = 0
     tenant: str = ''
@@ -68,8 +70,8 @@
 
     @property
     def is_idempotent(self) -> bool:
-        """Whether running the request twice does no harm (RFC 9110)."""
-        return self.request.method in _IDEMPOTENT
+        """Whether running the request twice does no harm."""
+        return self.route.is_idempotent
 
     @property
     def key(self) -> str:
@@ -90,14 +92,14 @@
 
 
 class ServiceFilter:
-    """Finds the service that the path names, and the request's class."""
+    """Finds the service that the path names and makes the route from it."""
 
     def __init__(self, configuration: Configuration) -> None:
         """Look services up in the configuration in force."""
         self._configuration = configuration
 
     def apply(self, inbound: Inbound) -> Result[None, Problem]:
-        """Set the service or refuse an unknown one."""
+        """Set the service and the route, or refuse an unknown service."""
         name = inbound.request.path.partition('?')[0].split('/')[1:2]
         inbound.service_name = name[0] if name else ''
         service = self._configuration.service(inbound.service_name)
@@ -105,7 +107,16 @@
             message = f'service {inbound.service_name!r} is not declared'
             return Err(Problem(ErrorKind.UNKNOWN_SERVICE, message))
         inbound.service = service
-        inbound.request_class = service.class_of(inbound.request.path)
+        request_class = service.class_of(inbound.request.path)
+        inbound.route = Route(
+            request_class.name,
+            (Part(inbound.service_name),),
+            # RFC 9110, section 9.2.2.
+            is_idempotent=inbound.request.method in _IDEMPOTENT,
+            timeout=service.deadline_ms / 1000,
+            importance=request_class.priority.rank,
+            max_sends=_MAX_SENDS,
+        )
         return Ok(None)
 
 
@@ -125,19 +136,29 @@
 
 
 class DeadlineFilter:
-    """Sets the deadline: the service's, or the caller's if that is earlier."""
+    """Sets the deadline: the route's, or the caller's if that is earlier."""
 
-    def __init__(self, now: Callable[[], float]) -> None:
-        """Read the time, in seconds, from ``now``."""
+    def __init__(
+        self,
+        now: Callable[[], float],
+        header: str = DEADLINE_HEADER,
+    ) -> None:
+        """Read the time, in seconds, from ``now``.
+
+        Args:
+            now: Tells the time.
+            header: Says how many milliseconds the caller waits.
+        """
         self._now = now
+        self._header = header
 
     def apply(self, inbound: Inbound) -> Result[None, Problem]:
         """Set the deadline, or refuse a malformed or expired one."""
-        text = inbound.request.header(DEADLINE_HEADER)
-        budget_ms = inbound.service.deadline_ms
+        text = inbound.request.header(self._header)
+        budget_ms = int(inbound.route.timeout * 1000)
         if text:
             if not text.isdecimal():
-                message = f'{DEADLINE_HEADER} {text!r} is not a whole number'
+                message = f'{self._header} {text!r} is not a whole number'
                 return Err(Problem(ErrorKind.BAD_REQUEST, message))
             budget_ms = min(budget_ms, int(text))
         inbound.deadline = inbound.received_at + budget_ms / 1000
--- a/bluebellsill/gossip_messages.py
+++ b/bluebellsill/gossip_messages.py
@@ -25,6 +25,8 @@
         state: The numeric value of a ``MemberState``.
         zone: The availability zone.
         service: The service of the target beside the node, or empty.
+        slots: The requests that the target runs at a time, 0 if unknown.
+        is_store_lost: Whether the node cannot read the platform's store.
     """
 
     id: str
@@ -33,6 +35,8 @@
     state: int
     zone: str
     service: str
+    slots: int = 0
+    is_store_lost: bool = False
 
 
 class Ping(WireMessage, frozen=True, tag=32):
--- a/bluebellsill/gossip_task.py
+++ b/bluebellsill/gossip_task.py
@@ -2,28 +2,35 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from bluebellsill.freshness import CHECK_PERIOD, Freshness
 from bluebellsill.gossip_messages import Ack, Applied
 from bluebellsill.logs import get_logger
 from bluebellsill.messages import Message
+from bluebellsill.revision_spread import Replica
 from bluebellsill.rollout import Rollout, readers_of
 from bluebellsill.swim import PERIOD, Swim
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from bluebellsill.configuration import Configuration
     from bluebellsill.gossip import Gossip
     from bluebellsill.timers import TimerService
 
-__all__ = ('GossipTask',)
+__all__ = ('GossipTask', 'SharedReplica')
 
 _REPORT_PERIOD = 2.0  # seconds between words to the readers
 _REPORTS_PER_SECOND = 50  # that a reader gets from all of its zone
 
 
+class SharedReplica(Replica, Protocol):
+    """A replica whose growth is told to others."""
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Call a listener after every step forward."""
+
+
 class GossipTask:
     """Hands datagrams to the decisions and their answers to the socket."""
 
@@ -31,8 +38,8 @@
         self,
         swim: Swim,
         gossip: Gossip,
-        configuration: Configuration,
-        rollout: Rollout,
+        replica: SharedReplica,
+        rollout: Rollout | None,
         timers: TimerService,
         load: Callable[[], int],
     ) -> None:
@@ -41,15 +48,16 @@
         Args:
             swim: The failure detector.
             gossip: The socket.
-            configuration: What is in force at this node.
-            rollout: What nodes tell this one, should it be a reader.
+            replica: What is in force at this node.
+            rollout: What nodes tell this one, should it be a reader; None
+                where nobody asks which nodes lag.
             timers: Drive the detector.
             load: Returns the calls in flight at the target.
         """
         self.on_revision: Callable[[str, int], None] | None = None
         self._swim = swim
         self._gossip = gossip
-        self._configuration = configuration
+        self._replica = replica
         self._rollout = rollout
         self._clock = timers.clock
         self._load = load
@@ -60,8 +68,9 @@
         timers.every(CHECK_PERIOD, self._check_freshness)
         timers.every(PERIOD, self.tick)
         timers.every(PERIOD / 4, self._check)
-        timers.every(_REPORT_PERIOD, self._repeat_report)
-        configuration.subscribe(self._on_applied)
+        if rollout is not None:
+            timers.every(_REPORT_PERIOD, self._repeat_report)
+        replica.subscribe(self._on_applied)
 
     @property
     def is_fresh(self) -> bool:
@@ -83,10 +92,11 @@
     def on_message(self, message: Message) -> None:
         """Handle one datagram."""
         if isinstance(message, Applied):
-            self._rollout.on_applied(message)
+            if self._rollout is not None:
+                self._rollout.on_applied(message)
             return
         if isinstance(message, Ack):
-            is_behind = message.revision > self._configuration.revision
+            is_behind = message.revision > self._replica.revision
             self._freshness.on_answer(message.sequence, is_behind=is_behind)
         self._gossip.send_all(self._swim.handle(message, self._clock.now()))
         sender = getattr(message, 'sender', None)
@@ -94,14 +104,20 @@
         if sender is not None and self.on_revision is not None:
             self.on_revision(sender.id, revision)
 
+    def meet(self, addresses: list[str]) -> None:
+        """Ask nodes that may be strangers for all that they know."""
+        self._gossip.send_all(self._swim.meet(addresses))
+
     def report_applied(self) -> None:
         """Tell the readers of the own zone what is in force here."""
+        if self._rollout is None:
+            return
         self._reported_at = self._clock.now()
         own = self._swim.members.own
         applied = Applied(
             own.id,
             own.incarnation,
-            self._configuration.revision,
+            self._replica.revision,
             self._load(),
         )
         members = self._swim.members.in_zone(own.zone)
@@ -128,7 +144,7 @@
             self.push()
 
     def _on_applied(self) -> None:
-        revision = self._configuration.revision
+        revision = self._replica.revision
         self._log.info('revision in force', revision=revision)
         self.report_applied()
         self.push()
--- a/bluebellsill/http_client.py
+++ b/bluebellsill/http_client.py
@@ -18,12 +18,27 @@
     from bluebellsill.reactor import Reactor
     from bluebellsill.timers import Timer
 
-__all__ = ('Exchange', 'HttpFailure', 'HttpPool')
+__all__ = ('AnswerRules', 'Exchange', 'HttpFailure', 'HttpPool')
 
-_IDLE_LIFETIME = 10  # seconds
+_IDLE_LIFETIME = 10  # seconds; below the usual idle timeout of servers
+_IDLE_SHARE = 0.7  # of the idle timeout that a server states
 _BODYLESS = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 
 
+@dataclass(frozen=True, slots=True)
+class AnswerRules:
+    """What a client asks of answers beside being whole.
+
+    Attributes:
+        id_header: A header that answers echo from their request, empty
+            for none; an answer with another value is not for the request.
+        may_lack_length: Whether an answer may end with its connection.
+    """
+
+    id_header: str = ''
+    may_lack_length: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class HttpFailure:
     """Why a request has no whole answer.
@@ -42,15 +57,17 @@
 class Exchange:
     """One request and the wait for its answer."""
 
-    __slots__ = ('connection', 'is_head', 'on_done', 'timer')
+    __slots__ = ('connection', 'is_head', 'on_done', 'request_id', 'timer')
 
     def __init__(
         self,
         on_done: Callable[[Result[Response, HttpFailure]], None],
         *,
         is_head: bool,
+        request_id: str = '',
     ) -> None:
         """Create an exchange that reports its end once."""
+        self.request_id = request_id
         self.on_done: Callable[..., None] | None = on_done
         self.connection: _ClientConnection | None = None
         self.timer: Timer | None = None
@@ -77,12 +94,22 @@
             self.connection.forget()
 
 
+_NO_RULES = AnswerRules()
+
+
 class HttpPool:
     """Sends requests to one server over kept connections."""
 
-    def __init__(self, reactor: Reactor, address: Address) -> None:
+    def __init__(
+        self,
+        reactor: Reactor,
+        address: Address,
+        rules: AnswerRules = _NO_RULES,
+    ) -> None:
         """Create a pool without connections."""
         self.address = address
+        self.rules = rules
+        self.opened = 0
         self.reactor = reactor
         self._idle: list[_ClientConnection] = []
         self._open: set[_ClientConnection] = set()
@@ -111,11 +138,17 @@
         Returns:
             The exchange, to cancel it.
         """
-        exchange = Exchange(on_done, is_head=request.method == 'HEAD')
+        id_header = self.rules.id_header
+        exchange = Exchange(
+            on_done,
+            is_head=request.method == 'HEAD',
+            request_id=request.header(id_header) if id_header else '',
+        )
         connection = None if fresh else self._take_idle()
         if connection is None:
             connection = _ClientConnection(self)
             self._open.add(connection)
+            self.opened += 1
         exchange.connection = connection
         exchange.timer = self.reactor.timers.after(
             timeout,
@@ -145,7 +178,7 @@
         while self._idle:
             # The most recently used is the least likely to have gone silent.
             connection = self._idle.pop()
-            if now - connection.idle_since <= _IDLE_LIFETIME:
+            if now - connection.idle_since <= connection.idle_lifetime:
                 return connection
             connection.stream.close()
             self._open.discard(connection)
@@ -167,6 +200,8 @@
 
     def __init__(self, pool: HttpPool) -> None:
         self.idle_since: float = 0
+        self.idle_lifetime: float = _IDLE_LIFETIME
+        self._is_tainted = False
         self._pool = pool
         self._exchange: Exchange | None = None
         self._reset()
@@ -193,9 +228,15 @@
             self.stream.lose(f'malformed answer: {error}')
 
     def on_lost(self, reason: str) -> None:
-        """Fail the exchange in flight: its answer is not whole."""
+        """End the exchange in flight, which fails unless its answer is whole."""
         self.forget()
         exchange = self._exchange
+        if self._ends_with_connection and self.stream.is_ended:
+            response = self._response()
+            if exchange is not None and self._is_for(exchange, response):
+                self._exchange = None
+                exchange.finish(Ok(response))
+                return
         self._exchange = None
         if exchange is not None:
             is_sent = self.stream.is_connected
@@ -217,7 +258,10 @@
         exchange = self._exchange
         is_bodyless = status in _BODYLESS or (exchange and exchange.is_head)
         if not self._has_length and not is_bodyless:
-            self._fail_soon('answer has no length')
+            if self._pool.rules.may_lack_length:
+                self._ends_with_connection = True
+            else:
+                self._fail_soon('answer has no length')
         elif exchange is not None and exchange.is_head:
             self._complete()
 
@@ -231,7 +275,7 @@
         """Report the whole answer."""
         status = self._parser.get_status_code()
         if status < HTTPStatus.OK:
-            self._reset()
+            self._clear()
         else:
             self._complete()
 
@@ -242,24 +286,57 @@
             # Nobody asked for this answer: never hand it to anybody.
             self._fail_soon('unexpected answer')
             return
-        response = Response(
-            self._parser.get_status_code(),
-            self._headers,
-            bytes(self._body),
-        )
-        if self._parser.should_keep_alive() and not exchange.is_head:
+        response = self._response()
+        if not self._is_for(exchange, response):
+            # The late answer to an earlier request; its own is still to come.
+            self._is_tainted = True
+            self._exchange = exchange
+            self._clear()
+            return
+        keep_alive = self._parser.should_keep_alive()
+        if keep_alive and not exchange.is_head and not self._is_tainted:
+            self.idle_lifetime = _idle_lifetime(response)
             self._pool.release(self)
         else:
             self.stream.close()
             self.forget()
         exchange.finish(Ok(response))
 
+    def _is_for(self, exchange: Exchange, response: Response) -> bool:
+        if not exchange.request_id:
+            return True
+        found = response.header(self._pool.rules.id_header)
+        if not found and response.status >= HTTPStatus.BAD_REQUEST:
+            # A refusal may come from a place that has not read the id.
+            return True
+        return found == exchange.request_id
+
+    def _response(self) -> Response:
+        return Response(
+            self._parser.get_status_code(),
+            self._headers,
+            bytes(self._body),
+        )
+
     def _fail_soon(self, reason: str) -> None:
         self._pool.reactor.timers.after(0, lambda: self.stream.lose(reason))
 
     def _reset(self) -> None:
         # A new parser each time: nothing of an old answer can leak.
         self._parser = HttpResponseParser(self)
+        self._clear()
+
+    def _clear(self) -> None:
         self._headers: Headers = []
         self._body = bytearray()
         self._has_length = False
+        self._ends_with_connection = False
+
+
+def _idle_lifetime(response: Response) -> float:
+    """Return how long a connection is kept, by what the server states."""
+    for part in response.header('keep-alive').split(','):
+        name, _, seconds = part.strip().partition('=')
+        if name.lower() == 'timeout' and seconds.isdecimal():
+            return min(_IDLE_LIFETIME, _IDLE_SHARE * int(seconds))
+    return _IDLE_LIFETIME
--- a/bluebellsill/logs.py
+++ b/bluebellsill/logs.py
@@ -1,64 +1,120 @@
-"""Structured logs: one JSON object a line on the standard error."""
+"""Structured logs: one JSON object a line, in bounded volume, by structlog."""
 
 from __future__ import annotations
 
-import sys
-from datetime import UTC, datetime
-from typing import Any
+import logging
+from collections import Counter
+from time import monotonic
+from typing import TYPE_CHECKING, Any
 
+import structlog
 from msgspec import json
 
-__all__ = ('Logger', 'bind_logs', 'get_logger')
+from bluebellsill.line_writer import LineWriter
+
+if TYPE_CHECKING:
+    from structlog.typing import EventDict, FilteringBoundLogger
+
+__all__ = ('bind_logs', 'flush_logs', 'get_logger', 'send_logs_to')
+
+# Lines of one event; a hundred failed calls tell as much as a thousand.
+_LINES_PER_SECOND = 100
+_STANDARD_ERROR = 2
 
-_bound: dict[str, str] = {}
 _encoder = json.Encoder(enc_hook=str)
 
 
-class Logger:
-    """Logs for one part of the process.
+class _Sink:
+    """Hands rendered lines to a writer that can be replaced."""
 
-    It has the few methods of structlog's loggers that are used here;
-    structlog itself takes 3.7 MB of resident memory, which a node lacks.
-    """
+    def __init__(self) -> None:
+        self.writer = LineWriter(_STANDARD_ERROR)
+
+    def info(self, line: str) -> None:
+        """Write a line."""
+        self.writer.write(line)
+
+    warning = info
+    error = info
+
+
+class _Bound:
+    """Adds what is bound for the whole process."""
 
-    __slots__ = ('_part',)
+    def __init__(self) -> None:
+        self.fields: dict[str, str] = {}
 
-    def __init__(self, part: str) -> None:
-        """Create a logger that names its part on each line."""
-        self._part = part
+    def __call__(self, _: Any, __: str, event: EventDict) -> EventDict:
+        """Add the fields."""
+        return {**self.fields, **event}
 
-    def debug(self, event: str, **fields: Any) -> None:
-        """Drop a line that only helps while developing."""
 
-    def info(self, event: str, **fields: Any) -> None:
-        """Log what happens in normal work."""
-        self._write('info', event, fields)
+class _Limit:
+    """Drops the lines of an event beyond a number in each second."""
 
-    def warning(self, event: str, **fields: Any) -> None:
-        """Log what the system copes with."""
-        self._write('warning', event, fields)
+    def __init__(self) -> None:
+        self._second = 0
+        self._lines: Counter[str] = Counter()
+        self._left_out: Counter[str] = Counter()
 
-    def error(self, event: str, **fields: Any) -> None:
-        """Log what a person should look at."""
-        self._write('error', event, fields)
+    def __call__(self, _: Any, __: str, event: EventDict) -> EventDict:
+        """Pass an event on, or drop it and say so with a later one."""
+        second = int(monotonic())
+        if second != self._second:
+            self._second = second
+            self._lines.clear()
+        name = str(event.get('event', ''))
+        self._lines[name] += 1
+        if self._lines[name] > _LINES_PER_SECOND:
+            self._left_out[name] += 1
+            raise structlog.DropEvent
+        left_out = self._left_out.pop(name, 0)
+        if left_out:
+            event['left_out_before'] = left_out
+        return event
 
-    def _write(self, level: str, event: str, fields: dict[str, Any]) -> None:
-        line = {
-            'timestamp': datetime.now(UTC).isoformat(timespec='milliseconds'),
-            'level': level,
-            'part': self._part,
-            'event': event,
-            **_bound,
-            **fields,
-        }
-        sys.stderr.write(f'{_encoder.encode(line).decode()}\n')
+
+_sink = _Sink()
+_bound = _Bound()
+
+structlog.configure(
+    processors=[
+        _Limit(),
+        structlog.processors.add_log_level,
+        structlog.processors.TimeStamper(fmt='iso', utc=True),
+        _bound,
+        structlog.processors.JSONRenderer(
+            serializer=lambda event, **_: _encoder.encode(event).decode(),
+        ),
+    ],
+    wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
+    logger_factory=lambda *_: _sink,
+    cache_logger_on_first_use=True,
+)
 
 
 def bind_logs(**fields: str) -> None:
     """Carry ``fields`` on each line from now on."""
-    _bound.update(fields)
+    _bound.fields.update(fields)
+
+
+def send_logs_to(descriptor: int) -> None:
+    """Write lines to another file descriptor from now on."""
+    flush_logs()
+    _sink.writer = LineWriter(descriptor)
+
+
+def flush_logs() -> int:
+    """Write what waits, as far as the reader takes it.
+
+    Returns:
+        The lines that were dropped so far because the reader was too slow.
+    """
+    _sink.writer.flush()
+    return _sink.writer.dropped
 
 
-def get_logger(part: str) -> Logger:
+def get_logger(part: str) -> FilteringBoundLogger:
     """Return the logger of a part of the process."""
-    return Logger(part)
+    logger: FilteringBoundLogger = structlog.get_logger(part=part)
+    return logger
--- a/bluebellsill/membership.py
+++ b/bluebellsill/membership.py
@@ -63,17 +63,24 @@
         *,
         state: MemberState | None = None,
         service: str | None = None,
+        slots: int | None = None,
+        is_store_lost: bool | None = None,
     ) -> Member:
-        """Say something new of the node itself.
+        """Say something new of the node itself; what is None stays.
 
         Returns:
             The new record, which supersedes every older one.
         """
+        news = {
+            'state': None if state is None else int(state),
+            'service': service,
+            'slots': slots,
+            'is_store_lost': is_store_lost,
+        }
         own = replace(
             self.own,
             version=self.own.version + 1,
-            state=self.own.state if state is None else int(state),
-            service=self.own.service if service is None else service,
+            **{name: one for name, one in news.items() if one is not None},
         )
         self._store(own)
         return own
--- /dev/null
+++ b/bluebellsill/mesh_node.py
@@ -0,0 +1,400 @@
+"""A node whose operators declare through the store, put together."""
+
+from __future__ import annotations
+
+from os import urandom
+from random import Random
+from typing import TYPE_CHECKING
+
+from circuits import BaseComponent, handler
+
+from bluebellsill._signals import take_signals
+from bluebellsill.acceptance import Acceptance
+from bluebellsill.choice import TwoChoices
+from bluebellsill.clock import SystemClock
+from bluebellsill.crash_spread import CrashSpread
+from bluebellsill.discovery import Discovery
+from bluebellsill.errors import ErrorKind
+from bluebellsill.feed_reader import FeedReader
+from bluebellsill.gateway import Gateway
+from bluebellsill.http_server import HttpServer
+from bluebellsill.logs import bind_logs, flush_logs, get_logger
+from bluebellsill.membership import MemberState
+from bluebellsill.messages import CrashReport
+from bluebellsill.metrics import Metrics
+from bluebellsill.operator_state import OperatorState
+from bluebellsill.peer_calls import PeerCalls
+from bluebellsill.peer_stack import PeerStack
+from bluebellsill.placement import Placement
+from bluebellsill.platform.endpoints import (
+    MetricsApi,
+    ReadyApi,
+    TargetReportApi,
+)
+from bluebellsill.platform.headers import CALLER_HEADERS
+from bluebellsill.platform.kv_store import KvStore
+from bluebellsill.platform.node_keys import LEASE_SECONDS, NodeKeys
+from bluebellsill.platform.operator_keys import OperatorKeys
+from bluebellsill.platform.routing_document import decode_plan
+from bluebellsill.platform.targets import PlatformDialect
+from bluebellsill.quarantine import Quarantine
+from bluebellsill.reactor import Reactor
+from bluebellsill.resources import OUTSIDE, Service
+from bluebellsill.retries import BudgetRules, RetryBudget
+from bluebellsill.route_interface import RouteInterface
+from bluebellsill.slot_gate import SlotGate
+from bluebellsill.streams import Address
+from bluebellsill.target_lives import Departure, TargetLives, TargetReport
+from bluebellsill.target_runner import TargetRunner
+from bluebellsill.target_watch import WatchRules
+from bluebellsill.timers import TimerService
+from bluebellsill.weights import WeightedTurns
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from bluebellsill.http import Request
+    from bluebellsill.http_server import Reply
+    from bluebellsill.mesh_settings import MeshSettings
+
+__all__ = ('MeshNode',)
+
+_LOG_PERIOD = 0.1  # seconds until lines that a slow reader left are tried
+_SEED_BYTES = 8
+# Seconds in which callers still come after a SIGTERM: the platform asks
+# once a second and needs two answers that the node is not ready.
+_LEAVE_GRACE = 2.2
+_DRAIN_PERIOD = 0.05  # seconds between looks whether all is answered
+_GRACE_MARGIN = 0.4  # seconds before SIGKILL by which the node has ended
+_MEET_SECONDS = 2.0  # until a node without peers takes callers all the same
+_REPORT_LIVES = 6  # report periods until a silent target is lost
+_CONFIRM_SHARE = 0.9  # of a report period; the second report confirms
+_PROBE_PERIOD = 0.5  # seconds; how long a target may be cold unnoticed
+# The share of the common retry budget that is used: the nodes cannot count
+# exactly, and calls of requests that run again count too.
+_BUDGET_SHARE = 0.5
+
+
+class MeshNode(BaseComponent):
+    """Owns the sockets and the state of one node."""
+
+    channel = 'node'
+
+    def __init__(
+        self,
+        settings: MeshSettings,
+        reload: Callable[[], MeshSettings | None],
+    ) -> None:
+        """Bind every socket.
+
+        Args:
+            settings: The settings.
+            reload: Returns the settings as they are now, None if they
+                cannot be used.
+
+        Raises:
+            OSError: An address cannot be bound.
+        """
+        super().__init__()
+        self._settings = settings
+        self._reload = reload
+        self._bounds = settings.known_bounds()
+        self._log = get_logger('node')
+        self._clock = SystemClock()
+        self._timers = TimerService(self._clock)
+        self._reactor = Reactor(self._timers).register(self)
+        self._random = Random(urandom(_SEED_BYTES))
+        self._metrics = Metrics()
+        self._quarantine = Quarantine()
+        self._started_at = self._clock.now()
+        self._left_at: float | None = None
+        self._was_zone_out = False
+        self._build_peers()
+        self._build_target()
+        self._build_callers()
+        self._build_gauges()
+
+    # The target runner asks these.
+
+    def refusal(self) -> ErrorKind | None:
+        """Return why new work is refused at this node, if it is."""
+        if self._state.plan is None:
+            return ErrorKind.NOT_CONFIGURED
+        return self._acceptance.refusal()
+
+    def service_of(self, name: str) -> Service | None:
+        """Return what operators say of a service."""
+        return self._state.service(name)
+
+    def on_target_changed(self) -> None:
+        """Tell the others whether a target is ready here."""
+        if self._acceptance.is_leaving:
+            return
+        announcement = self._runner.announcement
+        if announcement is None:
+            state = MemberState.JOINING
+        elif announcement.is_leaving:
+            state = MemberState.LEAVING
+        elif self._runner.is_ready:
+            state = MemberState.READY
+        else:
+            state = MemberState.JOINING
+        self._log.info('target changed', state=state.name.lower())
+        self._peers.members.restate(
+            state=state,
+            service=self._settings.target.service,
+            slots=announcement.slots if announcement else None,
+        )
+        self._peers.gossip_task.push()
+
+    def on_crash(self, start_id: str, fingerprints: list[int]) -> None:
+        """Tell the other nodes of the service of a crash."""
+        self._crashes.on_crash(start_id, fingerprints)
+
+    def on_cleared(self, fingerprint: int) -> None:
+        """Tell the other nodes of the service that a suspect was answered."""
+        self._crashes.on_cleared(fingerprint)
+
+    # Construction.
+
+    def _build_peers(self) -> None:
+        settings = self._settings
+        self._state = OperatorState(decode_plan)
+        self._state.subscribe(self._on_operators)
+        address = Address.parse(settings.listen.peers)
+        self._peers = PeerStack(
+            self._reactor,
+            address,
+            settings.node.availability_zone,
+            self._random,
+            self._state,
+            lambda: self._runner.in_flight,
+        )
+        self._peers.swim.seeds = [
+            str(address._replace(host=Address.parse(seed).host))
+            for seed in settings.seeds
+        ]
+        self._acceptance = Acceptance(
+            self._peers.members,
+            self._state,
+            lambda: self._peers.gossip_task.is_fresh,
+        )
+        self._store = KvStore(
+            self._reactor,
+            Address.parse(settings.store.address),
+        )
+        self._feed_reader = FeedReader(
+            OperatorKeys(self._store),
+            self._state,
+            self._peers.members,
+            self._timers,
+            self._random,
+        )
+        self._discovery = Discovery(
+            NodeKeys(self._store),
+            self._peers,
+            self._timers,
+            self._random,
+            LEASE_SECONDS,
+        )
+        self._crashes = CrashSpread(
+            self._peers.members,
+            self._peers.links,
+            self._quarantine,
+        )
+        self._peers.server.on(CrashReport, self._crashes.on_report)
+
+    def _build_target(self) -> None:
+        target = self._settings.target
+        period = target.report_period_ms / 1000
+        is_first = self._settings.node.is_first_start
+        self._runner = TargetRunner(
+            self._reactor,
+            self,
+            self._quarantine,
+            self._metrics,
+            SlotGate(),
+            PlatformDialect(),
+            WatchRules(
+                announcement_lifetime=_REPORT_LIVES * period,
+                probe_period=_PROBE_PERIOD,
+                probes_busy=True,
+                confirm_after=None if is_first else _CONFIRM_SHARE * period,
+            ),
+        )
+        PeerCalls(self._runner).serve(self._peers.server)
+        self._lives = TargetLives()
+        self._report_server = HttpServer(
+            self._reactor,
+            Address.parse(self._settings.listen.reports),
+            TargetReportApi(
+                target.service,
+                target.address,
+                self._on_report,
+                self._on_departure,
+            ).handle,
+        )
+
+    def _build_callers(self) -> None:
+        settings = self._settings
+        members = self._peers.members
+        self._gateway = Gateway(
+            members.own.id,
+            RouteInterface(
+                CALLER_HEADERS,
+                settings.target.service,
+                self._state,
+                WeightedTurns(self._random),
+                self._quarantine,
+                self._clock,
+                self._random,
+            ),
+            Placement(
+                members,
+                self._state,
+                lambda: TwoChoices(self._random, members.own.zone),
+                self._retry_budget,
+            ),
+            self._peers.links,
+            self._runner,
+            self._metrics,
+        )
+        self._caller_server = HttpServer(
+            self._reactor,
+            Address.parse(settings.listen.callers),
+            self._on_caller,
+        )
+        self._ready_server = HttpServer(
+            self._reactor,
+            Address.parse(settings.listen.ready),
+            ReadyApi(self._is_ready).handle,
+        )
+        self._metrics_server = HttpServer(
+            self._reactor,
+            Address.parse(settings.listen.metrics),
+            MetricsApi(self._metrics).handle,
+        )
+
+    def _build_gauges(self) -> None:
+        self._metrics.gauges.update(
+            store_calls=lambda: self._store.calls,
+            members=lambda: len(self._peers.members.live()),
+            links=lambda: len(self._peers.links),
+            gossip_bytes_sent=lambda: self._peers.gossip.bytes_sent,
+            in_flight=lambda: self._gateway.in_flight,
+            at_target=lambda: self._runner.in_flight,
+            target_connections=lambda: self._runner.opened_connections,
+            revision=lambda: self._state.revision,
+            log_lines_dropped=flush_logs,
+        )
+
+    def _retry_budget(self) -> RetryBudget:
+        bounds = self._bounds
+        nodes = max(1, len(self._peers.members.live()))
+        extra = _BUDGET_SHARE * bounds.budget_extra / nodes
+        rules = BudgetRules(
+            deposit=_BUDGET_SHARE * bounds.retry_budget_ratio,
+            # One half may be spent at once, the other one as time passes.
+            start=extra / 2,
+            cap=extra / 2,
+            per_second=extra / 2 / bounds.budget_window_s,
+            refused_cost=0,
+        )
+        return RetryBudget(rules, self._clock.now())
+
+    # Lifecycle.
+
+    @handler('started', channel='*')
+    def _on_started(self, *_: object) -> None:
+        take_signals(self._reactor, self._leave, self._on_reload)
+        bind_logs(
+            node=self._settings.node.name,
+            zone=self._settings.node.availability_zone,
+        )
+        self._log.info(
+            'started',
+            peers=self._peers.members.own.id,
+            service=self._settings.target.service,
+            is_first_start=self._settings.node.is_first_start,
+        )
+        self._timers.every(_LOG_PERIOD, _flush)
+        self._discovery.start()
+        self._feed_reader.start()
+        self._peers.gossip_task.tick()
+
+    def _on_reload(self) -> None:
+        settings = self._reload()
+        if settings is None:
+            return
+        self._bounds = settings.known_bounds()
+        self._log.info('reloaded', bounds=settings.bounds)
+
+    def _leave(self) -> None:
+        """Begin the graceful shutdown; every request is still answered."""
+        self._log.info('leaving', in_flight=self._gateway.in_flight)
+        self._left_at = self._clock.now()
+        self._acceptance.is_leaving = True
+        self._feed_reader.is_stopped = True
+        self._discovery.is_stopped = True
+        self._caller_server.is_closing = True
+        self._runner.refuse_queue(ErrorKind.LEAVING)
+        self._peers.members.restate(state=MemberState.LEAVING)
+        self._peers.gossip_task.push()
+        self._timers.after(_LEAVE_GRACE, self._start_draining)
+
+    def _start_draining(self) -> None:
+        self._caller_server.drain()
+        self._timers.every(_DRAIN_PERIOD, self._check_drained)
+
+    def _check_drained(self) -> None:
+        in_flight = self._runner.in_flight + self._gateway.in_flight
+        left_at = self._left_at or 0
+        ends_at = left_at + self._bounds.grace_s - _GRACE_MARGIN
+        is_late = self._clock.now() >= ends_at
+        if in_flight and not is_late:
+            return
+        if in_flight:
+            self._log.error('drain timed out', in_flight=in_flight)
+        self._peers.members.restate(state=MemberState.GONE)
+        self._peers.gossip_task.push()
+        self._log.info('stopped', in_flight=in_flight)
+        flush_logs()
+        self.stop()
+
+    def _is_ready(self) -> bool:
+        if self._state.plan is None or self._left_at is not None:
+            return False
+        has_waited = self._clock.now() - self._started_at > _MEET_SECONDS
+        return has_waited or not self._discovery.is_alone
+
+    # The target and the operators.
+
+    def _on_report(self, report: TargetReport) -> None:
+        announcement = self._lives.take(report)
+        if announcement is not None:
+            self._runner.announce(announcement)
+
+    def _on_departure(self, departure: Departure) -> None:
+        announcement = self._lives.leave(departure)
+        self._log.info('target departs', name=departure.name)
+        if announcement is not None:
+            self._runner.announce(announcement)
+
+    def _on_operators(self) -> None:
+        is_out = self._state.is_zone_out(self._peers.members.own.zone)
+        if is_out and not self._was_zone_out:
+            self._runner.refuse_queue(ErrorKind.ZONE_OUT)
+        elif self._was_zone_out and not is_out:
+            # Targets may have turned cold while they had nothing to do.
+            self._runner.doubt_temperature()
+        self._was_zone_out = is_out
+
+    def _on_caller(self, request: Request, reply: Reply) -> None:
+        own_host = Address.parse(self._peers.members.own.id).host
+        is_target = reply.remote_host == own_host
+        caller = self._settings.target.service if is_target else OUTSIDE
+        self._gateway.handle(request, reply, caller)
+
+
+def _flush() -> None:
+    flush_logs()
--- a/bluebellsill/messages.py
+++ b/bluebellsill/messages.py
@@ -82,6 +82,10 @@
             of the claim of its key.
         key: The scoped idempotency key, or empty.
         holders: The nodes that hold the claim of the key.
+        target_latency_ms: Milliseconds in which an answer is of full use,
+            0 where none are stated.
+        route: Names requests that take about as long.
+        is_inner: Whether a target that runs a request waits for the call.
     """
 
     id: int
@@ -97,6 +101,9 @@
     correlation: str
     key: str = ''
     holders: list[str] = field(default_factory=list)
+    target_latency_ms: int = 0
+    route: str = ''
+    is_inner: bool = False
 
 
 class Answer(WireMessage, frozen=True, tag=5):
@@ -123,12 +130,24 @@
 
 
 class Refusal(WireMessage, frozen=True, tag=6):
-    """The node did not hand the call to its target."""
+    """The target has not run the call and never will.
+
+    Attributes:
+        id: Names the call on its connection.
+        kind: The error kind.
+        in_flight: Calls that run or wait at the target's node.
+        limit: Calls that may run there.
+        retry_ms: Milliseconds until a slot may be free, 0 if unknown.
+        has_arrived: Whether the target itself refused the call, and not
+            the node beside it.
+    """
 
     id: int
     kind: str
     in_flight: int
     limit: int
+    retry_ms: int = 0
+    has_arrived: bool = False
 
 
 class Failure(WireMessage, frozen=True, tag=7):
--- a/bluebellsill/metrics.py
+++ b/bluebellsill/metrics.py
@@ -3,12 +3,22 @@
 from __future__ import annotations
 
 from collections import Counter, defaultdict
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from hdrh.histogram import HdrHistogram
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+)
 
 from bluebellsill.resources import DEFAULT_CLASS
 
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+    from prometheus_client import Metric
+
 __all__ = ('Latencies', 'Metrics', 'summarize')
 
 _MIN_LATENCY = 1  # microseconds
@@ -55,6 +65,7 @@
     def __init__(self) -> None:
         """Create empty metrics."""
         self.counts: Counter[str] = Counter()
+        self.gauges: dict[str, Callable[[], float]] = {}
         self._by_service: dict[str, Latencies] = defaultdict(Latencies)
         self._by_class: dict[str, Latencies] = defaultdict(Latencies)
         self._by_tenant: dict[str, Latencies] = defaultdict(Latencies)
@@ -76,6 +87,37 @@
             tenant = _OTHER
         self._by_tenant[tenant].record(seconds)
 
+    def exposition(self) -> bytes:
+        """Return everything in the text format of Prometheus."""
+        registry = CollectorRegistry()
+        registry.register(self)
+        return generate_latest(registry)
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield everything as the families of a Prometheus collector."""
+        events = CounterMetricFamily(
+            'bluebellsill_events',
+            'What became of requests, and what it cost',
+            labels=('event',),
+        )
+        for name, count in self.counts.items():
+            events.add_metric((name,), count)
+        yield events
+        gauges = GaugeMetricFamily(
+            'bluebellsill_state',
+            'What the node has now',
+            labels=('of',),
+        )
+        for name, read in self.gauges.items():
+            gauges.add_metric((name,), read())
+        yield gauges
+        for kind, by_name in (
+            ('service', self._by_service),
+            ('class', self._by_class),
+            ('tenant', self._by_tenant),
+        ):
+            yield _latencies(kind, by_name)
+
     def document(self) -> dict[str, Any]:
         """Return everything as JSON types."""
         return {
@@ -89,3 +131,18 @@
 def summarize(by_name: dict[str, Latencies]) -> dict[str, dict[str, float]]:
     """Return the summary of each histogram."""
     return {name: one.summary() for name, one in by_name.items()}
+
+
+def _latencies(
+    kind: str,
+    by_name: dict[str, Latencies],
+) -> GaugeMetricFamily:
+    family = GaugeMetricFamily(
+        f'bluebellsill_{kind}_latency_milliseconds',
+        f'Latencies of answered requests by {kind}',
+        labels=(kind, 'statistic'),
+    )
+    for name, one in by_name.items():
+        for statistic, figure in one.summary().items():
+            family.add_metric((name, statistic), figure)
+    return family
--- a/bluebellsill/node.py
+++ b/bluebellsill/node.py
@@ -11,41 +11,38 @@
 from circuits import BaseComponent, Event, handler
 from msgspec import json
 
-from bluebellsill._binding import bind_peers
-from bluebellsill._signals import take_stop_signals
+from bluebellsill._signals import take_signals
 from bluebellsill.acceptance import Acceptance
 from bluebellsill.announcements import TargetApi
+from bluebellsill.caller_interface import OwnInterface
+from bluebellsill.choice import make_choice
 from bluebellsill.clock import SystemClock
 from bluebellsill.configuration import Configuration
 from bluebellsill.crash_spread import CrashSpread
 from bluebellsill.gateway import Gateway
-from bluebellsill.gossip_messages import Member
-from bluebellsill.gossip_task import GossipTask
 from bluebellsill.http import Request
 from bluebellsill.http_server import HttpServer, Reply
 from bluebellsill.key_registry import KeyRegistry
 from bluebellsill.logs import bind_logs, get_logger
-from bluebellsill.membership import Members, MemberState
+from bluebellsill.membership import MemberState
 from bluebellsill.messages import (
     CrashReport,
-    Hello,
-    RevisionRequest,
     ZoneReportRequest,
 )
 from bluebellsill.metrics import Metrics
 from bluebellsill.operators import OperatorApi
 from bluebellsill.peer_calls import PeerCalls
-from bluebellsill.peers import PeerLinks
+from bluebellsill.peer_stack import PeerStack
+from bluebellsill.placement import Placement
 from bluebellsill.quarantine import Quarantine
 from bluebellsill.reactor import Reactor
 from bluebellsill.reader import ConfigurationReader
 from bluebellsill.resources import OUTSIDE, Service
-from bluebellsill.revision_spread import RevisionSpread
+from bluebellsill.retries import RetryBudget
 from bluebellsill.rollout import Rollout
 from bluebellsill.rollout_query import ZoneRollouts
 from bluebellsill.store import HttpStore
 from bluebellsill.streams import Address
-from bluebellsill.swim import Swim
 from bluebellsill.target_runner import TargetRunner
 from bluebellsill.timers import TimerService
 from bluebellsill.writer import ConfigurationWriter
@@ -147,42 +144,24 @@
     # Construction.
 
     def _build_peers(self, settings: Settings) -> None:
-        address = Address.parse(settings.listen.peers)
-        self._peer_server, self._gossip = bind_peers(self._reactor, address)
-        own = Member(
-            str(self._peer_server.address),
-            int(time() * 1000),
-            0,
-            int(MemberState.JOINING),
+        self._peers = PeerStack(
+            self._reactor,
+            Address.parse(settings.listen.peers),
             settings.node.availability_zone,
-            '',
-        )
-        self._members = Members(own)
-        self._swim = Swim(
-            self._members,
             self._random,
-            lambda: self._configuration.revision,
-        )
-        self._swim.seeds = list(settings.membership.seeds)
-        self._gossip_task = GossipTask(
-            self._swim,
-            self._gossip,
             self._configuration,
-            self._rollout,
-            self._timers,
             lambda: self._runner.in_flight,
+            self._rollout,
         )
+        self._members = self._peers.members
+        self._links = self._peers.links
+        self._gossip_task = self._peers.gossip_task
+        self._peers.swim.seeds = list(settings.membership.seeds)
         self._acceptance = Acceptance(
             self._members,
             self._configuration,
             lambda: self._gossip_task.is_fresh,
         )
-        self._gossip.on_message = self._gossip_task.on_message
-        self._links = PeerLinks(
-            self._reactor,
-            self._hello,
-            self._gossip_task.suspect,
-        )
 
     def _build_control(self, settings: Settings) -> None:
         self._store = HttpStore(
@@ -197,11 +176,9 @@
         self._reader = ConfigurationReader(
             self._writer,
             self._members,
-            self._swim,
+            self._peers.swim,
             self._random,
         )
-        self._spread = RevisionSpread(self._configuration, self._links)
-        self._gossip_task.on_revision = self._spread.on_heard
         self._rollouts = ZoneRollouts(
             self._members,
             self._rollout,
@@ -242,16 +219,30 @@
             time,
             lambda: self._gossip_task.is_fresh,
         )
+        own = self._members.own
         self._gateway = Gateway(
-            self._members,
-            self._configuration,
+            own.id,
+            OwnInterface(
+                self._members,
+                self._configuration,
+                self._quarantine,
+                self._clock,
+                self._random,
+            ),
+            Placement(
+                self._members,
+                self._configuration,
+                lambda: make_choice(
+                    settings.routing.choice,
+                    self._random,
+                    own.zone,
+                ),
+                RetryBudget,
+            ),
             self._links,
             self._runner,
-            self._quarantine,
             self._metrics,
             self._keys,
-            self._random,
-            settings.routing.choice,
         )
         target_api = TargetApi(
             self._runner,
@@ -268,10 +259,9 @@
             Address.parse(settings.listen.callers),
             self._on_caller,
         )
-        server = self._peer_server
+        server = self._peers.server
         PeerCalls(self._runner, self._keys).serve(server)
         server.on(CrashReport, self._crashes.on_report)
-        server.on(RevisionRequest, self._spread.on_request)
         server.on(ZoneReportRequest, self._rollouts.on_request)
         self._timers.every(_OBSERVE_PERIOD, self._keys.observe)
 
@@ -279,7 +269,7 @@
 
     @handler('started', channel='*')
     def _on_started(self, *_: object) -> None:
-        take_stop_signals(self._reactor, self._leave)
+        take_signals(self._reactor, self._leave)
         self._reader.start()
         self._gossip_task.tick()
         bind_logs(node=self._members.own.id)
@@ -319,12 +309,6 @@
         self.fire(self.Stopped())
         self.stop()
 
-    # Peers.
-
-    def _hello(self) -> Hello:
-        own = self._members.own
-        return Hello(own.id, own.incarnation)
-
     # State.
 
     def _describe(self) -> dict[str, Any]:
@@ -339,8 +323,8 @@
             'members': len(self._members.live()),
             'links': len(self._links),
             'keys': len(self._keys.holder),
-            'gossip_bytes_sent': self._gossip.bytes_sent,
-            'gossip_bytes_received': self._gossip.bytes_received,
+            'gossip_bytes_sent': self._peers.gossip.bytes_sent,
+            'gossip_bytes_received': self._peers.gossip.bytes_received,
             'target': self._runner.document(),
         }
 
--- a/bluebellsill/peer_calls.py
+++ b/bluebellsill/peer_calls.py
@@ -15,6 +15,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from bluebellsill.key_registry import KeyRegistry
     from bluebellsill.peers import PeerConnection, PeerServer
     from bluebellsill.target_runner import TargetRunner
@@ -25,8 +27,12 @@
 class PeerCalls:
     """Runs calls at the target beside this node and grants claims."""
 
-    def __init__(self, runner: TargetRunner, keys: KeyRegistry) -> None:
-        """Serve from a target's runner and this node's keys."""
+    def __init__(
+        self,
+        runner: TargetRunner,
+        keys: KeyRegistry | None = None,
+    ) -> None:
+        """Serve from a target's runner and this node's keys, if it has any."""
         self._runner = runner
         self._keys = keys
 
@@ -34,8 +40,10 @@
         """Take over the messages of calls and claims."""
         server.on(Call, self._on_call)
         server.on(Cancel, self._on_cancel)
-        server.on(Claim, self._on_claim)
-        server.on(Settle, self._on_settle)
+        if self._keys is not None:
+            keys = self._keys
+            server.on(Claim, self._on_claim(keys))
+            server.on(Settle, lambda _, settle: keys.take_settle(settle))
 
     def _on_call(self, connection: PeerConnection, call: Call) -> None:
         cancels = connection.on_cancel_by_id
@@ -50,12 +58,13 @@
                 self._settle(call, reply)
 
         run = self._runner.run(call, respond)
-        # Only what runs and may be run twice is cancelled with its entry.
-        if run is not None and call.is_idempotent and not is_done:
+        if run is not None and not is_done:
             cancels[call.id] = lambda: self._runner.cancel(run)
 
     def _settle(self, call: Call, answer: Answer) -> None:
         """Tell the holders of a key of an answer whose entry node is gone."""
+        if self._keys is None:
+            return
         settle = Settle(
             call.key,
             call.correlation,
@@ -72,8 +81,8 @@
         if on_cancel is not None:
             on_cancel()
 
-    def _on_claim(self, connection: PeerConnection, claim: Claim) -> None:
-        connection.send(self._keys.grant(claim))
-
-    def _on_settle(self, connection: PeerConnection, settle: Settle) -> None:
-        self._keys.take_settle(settle)
+    def _on_claim(
+        self,
+        keys: KeyRegistry,
+    ) -> Callable[[PeerConnection, Claim], None]:
+        return lambda connection, claim: connection.send(keys.grant(claim))
--- /dev/null
+++ b/bluebellsill/platform/headers.py
@@ -0,0 +1,35 @@
+"""The headers of the platform's callers and targets."""
+
+from __future__ import annotations
+
+from bluebellsill.route_interface import HeaderNames
+
+__all__ = (
+    'CALLER_HEADERS',
+    'COLD_LEFT',
+    'DEADLINE',
+    'EXPECTED_TARGET',
+    'NOT_RUN',
+    'REQUEST_ID',
+    'TARGET_NAME',
+)
+
+REQUEST_ID = 'bluebellsill-request-id'
+# Milliseconds that the sender waits, counted from the request.
+DEADLINE = 'bluebellsill-deadline-ms'
+CALLER_SERVICE = 'bluebellsill-caller-service'
+# The name of the target that a request is meant for.
+EXPECTED_TARGET = 'bluebellsill-expected-instance'
+# The name of the target that has answered a probe.
+TARGET_NAME = 'bluebellsill-instance-id'
+# A target that has not run a request says so by this header.
+NOT_RUN = 'bluebellsill-not-executed'
+# Milliseconds that a target stays cold, in the answers to probes.
+COLD_LEFT = 'bluebellsill-cold-ms'
+
+CALLER_HEADERS = HeaderNames(
+    request_id=REQUEST_ID,
+    deadline=DEADLINE,
+    calling_service=CALLER_SERVICE,
+    reserved=frozenset((EXPECTED_TARGET,)),
+)
--- /dev/null
+++ b/bluebellsill/platform/node_keys.py
@@ -0,0 +1,115 @@
+"""The keys by which nodes find each other in the platform's store."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+import msgspec
+from msgspec import Struct, json
+from result import Err, Ok, Result
+
+from bluebellsill.logs import get_logger
+from bluebellsill.node_directory import DirectoryEntry, DirectoryFailure
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from bluebellsill.platform.kv_store import (
+        Item,
+        ItemPage,
+        KvFailure,
+        KvStore,
+    )
+
+from bluebellsill.platform.kv_store import KvWrite
+
+__all__ = ('LEASE_SECONDS', 'NodeKeys')
+
+LEASE_SECONDS = 600.0  # seconds; the longest that the platform grants
+_PREFIX = 'bluebellsill/nodes/'
+
+
+class _NodeValue(Struct, frozen=True):
+    """The value of a node's key."""
+
+    zone: str
+
+
+class NodeKeys:
+    """The node directory over a prefix of the project's own."""
+
+    def __init__(self, store: KvStore) -> None:
+        """Call the store with a client."""
+        self._store = store
+        self._lease = 0
+        self._log = get_logger('directory')
+
+    def list_nodes(
+        self,
+        on_done: Callable[
+            [Result[list[DirectoryEntry], DirectoryFailure]], None
+        ],
+    ) -> None:
+        """List the first page of entries; it may be some seconds old."""
+
+        def on_page(done: Result[ItemPage, KvFailure]) -> None:
+            if isinstance(done, Err):
+                on_done(Err(DirectoryFailure(done.err_value.reason)))
+                return
+            entries = [self._entry(item) for item in done.ok_value.items]
+            on_done(Ok([entry for entry in entries if entry is not None]))
+
+        self._store.range(_PREFIX, '', on_page, may_be_old=True)
+
+    def register(
+        self,
+        entry: DirectoryEntry,
+        on_done: Callable[[Result[None, DirectoryFailure]], None],
+    ) -> None:
+        """Write the entry under a lease, if there is none yet."""
+
+        def on_granted(done: Result[int, KvFailure]) -> None:
+            if isinstance(done, Err):
+                on_done(Err(DirectoryFailure(done.err_value.reason)))
+                return
+            self._lease = done.ok_value
+            write = KvWrite(
+                f'{_PREFIX}{entry.node_id}',
+                json.encode(_NodeValue(entry.zone)),
+                0,
+                self._lease,
+            )
+            self._store.write(write, on_written)
+
+        def on_written(done: Result[int, KvFailure]) -> None:
+            is_there = isinstance(done, Err) and (
+                done.err_value.status == HTTPStatus.PRECONDITION_FAILED
+            )
+            if isinstance(done, Err) and not is_there:
+                on_done(Err(DirectoryFailure(done.err_value.reason)))
+            else:
+                on_done(Ok(None))
+
+        self._store.grant(LEASE_SECONDS, on_granted)
+
+    def renew(
+        self,
+        on_done: Callable[[Result[None, DirectoryFailure]], None],
+    ) -> None:
+        """Renew the lease of the entry."""
+        self._store.keep(
+            self._lease,
+            lambda done: on_done(
+                done.map_err(lambda failure: DirectoryFailure(failure.reason)),
+            ),
+        )
+
+    def _entry(self, item: Item) -> DirectoryEntry | None:
+        node_id = item.key.removeprefix(_PREFIX)
+        try:
+            node_value = json.decode(item.value, type=_NodeValue)
+        except msgspec.DecodeError as error:
+            self._log.warning('entry ignored', key=item.key, reason=str(error))
+            return None
+        return DirectoryEntry(node_id, node_value.zone)
--- /dev/null
+++ b/bluebellsill/platform/operator_keys.py
@@ -0,0 +1,122 @@
+"""What operators write into the platform's store."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+from msgspec import UNSET
+from result import Err, Ok, Result
+
+from bluebellsill.operator_feed import (
+    DocumentWritten,
+    FeedChange,
+    FeedFailure,
+    FeedNews,
+    FeedSnapshot,
+    ZoneWritten,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from bluebellsill.platform.kv_store import (
+        Item,
+        ItemEvent,
+        ItemPage,
+        ItemWatch,
+        KvFailure,
+        KvStore,
+    )
+
+__all__ = ('OperatorKeys',)
+
+_PREFIX = 'op/'
+_DOCUMENT_KEY = 'op/config'
+_ZONE_PREFIX = 'op/evacuate/'
+
+
+class OperatorKeys:
+    """The operator feed over the keys that begin with ``op/``."""
+
+    def __init__(self, store: KvStore) -> None:
+        """Read with a client of the store."""
+        self._store = store
+
+    def read(
+        self,
+        on_done: Callable[[Result[FeedSnapshot, FeedFailure]], None],
+    ) -> None:
+        """Read everything."""
+        self._read_page('', [], 0, on_done)
+
+    def watch(
+        self,
+        revision: int,
+        wait: float,
+        on_done: Callable[[Result[FeedNews, FeedFailure]], None],
+    ) -> None:
+        """Wait for changes after a revision, for some seconds at most."""
+        self._store.watch(
+            _PREFIX,
+            revision,
+            wait,
+            lambda done: on_done(_news(done)),
+        )
+
+    def _read_page(
+        self,
+        after: str,
+        items: list[Item],
+        revision: int,
+        on_done: Callable[[Result[FeedSnapshot, FeedFailure]], None],
+    ) -> None:
+        def on_page(done: Result[ItemPage, KvFailure]) -> None:
+            if isinstance(done, Err):
+                on_done(Err(_failure(done.err_value)))
+                return
+            page = done.ok_value
+            read = [*items, *page.items]
+            # Pages are read one after another: only the first revision
+            # holds for all of them.
+            first = revision or page.current_rev
+            if page.more_pages and page.items:
+                self._read_page(page.items[-1].key, read, first, on_done)
+            else:
+                on_done(Ok(_snapshot(read, first)))
+
+        self._store.range(_PREFIX, after, on_page)
+
+
+def _snapshot(items: list[Item], revision: int) -> FeedSnapshot:
+    document = b''
+    zones: list[str] = []
+    for item in items:
+        if item.key == _DOCUMENT_KEY:
+            document = item.value
+        elif item.key.startswith(_ZONE_PREFIX):
+            zones.append(item.key.removeprefix(_ZONE_PREFIX))
+    return FeedSnapshot(revision, document, tuple(sorted(zones)))
+
+
+def _news(done: Result[ItemWatch, KvFailure]) -> Result[FeedNews, FeedFailure]:
+    if isinstance(done, Err):
+        return Err(_failure(done.err_value))
+    watch = done.ok_value
+    changes = [_change(event) for event in watch.events]
+    known = tuple(change for change in changes if change is not None)
+    return Ok(FeedNews(known, watch.current_rev))
+
+
+def _change(event: ItemEvent) -> FeedChange | None:
+    if event.key.startswith(_ZONE_PREFIX):
+        zone = event.key.removeprefix(_ZONE_PREFIX)
+        return ZoneWritten(event.revision, zone, is_out=not event.deleted)
+    if event.key == _DOCUMENT_KEY and event.value is not UNSET:
+        return DocumentWritten(event.revision, event.value)
+    return None
+
+
+def _failure(failure: KvFailure) -> FeedFailure:
+    is_gone = failure.status == HTTPStatus.GONE
+    return FeedFailure(failure.reason, is_history_gone=is_gone)
--- a/bluebellsill/resources.py
+++ b/bluebellsill/resources.py
@@ -90,6 +90,8 @@
         health_path: The path that probes ask for.
         probe_cost_ms: Milliseconds that one probe costs a target.
         probe_budget_ms: Milliseconds a second that probes may cost a target.
+        cold_per_s: Requests a second that a target bears while it says that
+            it is cold.
     """
 
     priority: Priority = Priority.NORMAL
@@ -101,6 +103,7 @@
     health_path: Annotated[str, Meta(pattern='^/[!-~]*$')] = '/health'
     probe_cost_ms: Annotated[float, Meta(gt=0, le=1000)] = 6
     probe_budget_ms: Annotated[float, Meta(gt=0, le=1000)] = 6
+    cold_per_s: Annotated[float, Meta(gt=0, le=100000)] = 1
 
     def class_of(self, target: str) -> RequestClass:
         """Return the class of a request.
--- a/bluebellsill/retries.py
+++ b/bluebellsill/retries.py
@@ -2,34 +2,63 @@
 
 from __future__ import annotations
 
-__all__ = ('RetryBudget',)
+from dataclasses import dataclass
 
-_DEPOSIT = 0.2  # for each call
-_START = 10.0
-_CAP = 50.0
-_REFUSED_COST = 0.25  # a refusal costs a target nothing
-_DISPATCHED_COST = 1.0
+__all__ = ('OWN_BUDGET', 'BudgetRules', 'RetryBudget')
+
+
+@dataclass(frozen=True, slots=True)
+class BudgetRules:
+    """What a budget earns and what retries cost.
+
+    Attributes:
+        deposit: Retries earned by each call.
+        start: Retries that a new budget holds.
+        cap: Retries that a budget holds at most.
+        per_second: Retries earned by time.
+        refused_cost: Of a retry after a refusal that no target has seen.
+    """
+
+    deposit: float = 0.2
+    start: float = 10.0
+    cap: float = 50.0
+    per_second: float = 0
+    refused_cost: float = 0.25
+
+
+OWN_BUDGET = BudgetRules()
+_DISPATCHED_COST = 1.0  # retries
 
 
 class RetryBudget:
     """Lets a share of calls be tried again, so overload is not multiplied."""
 
-    def __init__(self) -> None:
-        """Create a budget with a small start."""
-        self._saved = _START
+    def __init__(self, rules: BudgetRules = OWN_BUDGET, now: float = 0) -> None:
+        """Create a budget with a small start at a time in seconds."""
+        self.rules = rules
+        self._saved = rules.start
+        self._at = now
 
     def on_call(self) -> None:
         """Earn a share of a retry by a new call."""
-        self._saved = min(_CAP, self._saved + _DEPOSIT)
+        self._earn(self.rules.deposit)
+
+    def on_time(self, now: float) -> None:
+        """Earn what the time since the last call of this is worth."""
+        self._earn(self.rules.per_second * max(0, now - self._at))
+        self._at = now
 
     def take(self, *, was_dispatched: bool) -> bool:
         """Return whether a retry is allowed, and pay for it.
 
         Args:
-            was_dispatched: Whether a target may have run the failed try.
+            was_dispatched: Whether a target may have seen the failed try.
         """
-        cost = _DISPATCHED_COST if was_dispatched else _REFUSED_COST
+        cost = _DISPATCHED_COST if was_dispatched else self.rules.refused_cost
         if self._saved < cost:
             return False
         self._saved -= cost
         return True
+
+    def _earn(self, retries: float) -> None:
+        self._saved = min(self.rules.cap, self._saved + retries)
--- a/bluebellsill/revision_spread.py
+++ b/bluebellsill/revision_spread.py
@@ -2,41 +2,61 @@
 
 from __future__ import annotations
 
-from msgspec import json
-
-from bluebellsill.configuration import (
-    Configuration,
-    ConfigurationError,
-    decode_change,
-    decode_snapshot,
-)
+from typing import Protocol
+
 from bluebellsill.logs import get_logger
 from bluebellsill.messages import RevisionRequest, Revisions
 from bluebellsill.peers import LinkLost, PeerConnection, PeerLinks
 
-__all__ = ('RevisionSpread',)
+__all__ = ('Replica', 'RevisionSpread')
+
+
+class Replica(Protocol):
+    """Something that all nodes have a copy of, and that only grows."""
+
+    @property
+    def revision(self) -> int:
+        """The revision of this node's copy."""
+
+    def export(self, after: int) -> tuple[bytes, list[bytes]]:
+        """Return what a node at an older revision lacks.
+
+        Returns:
+            A snapshot, or empty, and the changes to apply to it.
+        """
+
+    def merge(self, snapshot: bytes, changes: list[bytes], peer: str) -> None:
+        """Take in what a peer has exported.
+
+        Raises:
+            ValueError: The peer sent something else.
+        """
 
 
 class RevisionSpread:
     """Fetches what is missing from a peer that is ahead."""
 
-    def __init__(self, configuration: Configuration, links: PeerLinks) -> None:
-        """Bring ``configuration`` up to date over ``links``."""
-        self._configuration = configuration
+    def __init__(self, replica: Replica, links: PeerLinks) -> None:
+        """Bring ``replica`` up to date over ``links``."""
+        self._replica = replica
         self._links = links
         self._is_fetching = False
         self._log = get_logger('revisions')
 
     def on_heard(self, peer: str, revision: int) -> None:
         """Fetch from a peer that has a newer revision."""
-        if self._is_fetching or revision <= self._configuration.revision:
+        if self._is_fetching or revision <= self._replica.revision:
             return
         self._is_fetching = True
         request = RevisionRequest(
             self._links.next_id(),
-            self._configuration.revision,
+            self._replica.revision,
+        )
+        self._links.request(
+            peer,
+            request,
+            lambda reply: self._on_reply(peer, reply),
         )
-        self._links.request(peer, request, self._on_reply)
 
     def on_request(
         self,
@@ -44,23 +64,15 @@
         request: RevisionRequest,
     ) -> None:
         """Answer a peer that is behind."""
-        changes = self._configuration.changes_after(request.after)
-        if changes is None:
-            snapshot = json.encode(self._configuration.snapshot())
-            connection.send(Revisions(request.id, snapshot, []))
-            return
-        encoded = [json.encode(change) for change in changes]
-        connection.send(Revisions(request.id, b'', encoded))
+        snapshot, changes = self._replica.export(request.after)
+        connection.send(Revisions(request.id, snapshot, changes))
 
-    def _on_reply(self, reply: Revisions | LinkLost) -> None:
+    def _on_reply(self, peer: str, reply: Revisions | LinkLost) -> None:
         self._is_fetching = False
         if isinstance(reply, LinkLost):
+            self._log.info('fetch failed', peer=peer, reason=reply.reason)
             return
         try:
-            if reply.snapshot:
-                snapshot = decode_snapshot(reply.snapshot)
-                self._configuration.apply_snapshot(snapshot)
-            changes = [decode_change(change) for change in reply.changes]
-            self._configuration.apply_changes(changes)
-        except ConfigurationError as error:
-            self._log.error('revisions ignored', reason=str(error))
+            self._replica.merge(reply.snapshot, reply.changes, peer)
+        except ValueError as error:
+            self._log.error('revisions ignored', peer=peer, reason=str(error))
--- /dev/null
+++ b/bluebellsill/route_interface.py
@@ -0,0 +1,159 @@
+"""Callers whose requests are routed by host and path."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+from result import Err, Ok, Result
+
+from bluebellsill.errors import ErrorKind, Problem, Run
+from bluebellsill.filters import DeadlineFilter, QuarantineFilter
+from bluebellsill.http import (
+    Headers,
+    Request,
+    Response,
+    end_to_end,
+    problem_response,
+)
+from bluebellsill.retry_advice import retry_after
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from random import Random
+
+    from bluebellsill.clock import Clock
+    from bluebellsill.filters import Filter, Inbound
+    from bluebellsill.operator_state import OperatorState
+    from bluebellsill.quarantine import Quarantine
+    from bluebellsill.weights import WeightedTurns
+
+__all__ = ('HeaderNames', 'RouteFilter', 'RouteInterface')
+
+_ID_BITS = 64
+
+
+@dataclass(frozen=True, slots=True)
+class HeaderNames:
+    """The headers of callers, in lower case.
+
+    Attributes:
+        request_id: Names one try of a caller.
+        deadline: How many milliseconds the caller waits.
+        calling_service: The service beside whose target a call began; set
+            by the node, whatever the caller sent.
+        reserved: Headers that callers may not hand to a target.
+    """
+
+    request_id: str
+    deadline: str
+    calling_service: str
+    reserved: frozenset[str]
+
+
+class RouteFilter:
+    """Finds the route of a request and the service whose turn it is."""
+
+    def __init__(self, state: OperatorState, turns: WeightedTurns) -> None:
+        """Look routes up in the plan in force."""
+        self._state = state
+        self._turns = turns
+
+    def apply(self, inbound: Inbound) -> Result[None, Problem]:
+        """Set the route and the service, or refuse an unknown one."""
+        plan = self._state.plan
+        if plan is None:
+            message = 'this node has no routes yet'
+            return Err(Problem(ErrorKind.NOT_CONFIGURED, message))
+        request = inbound.request
+        host = request.header('host')
+        route = plan.table.match(host, request.path)
+        if route is None:
+            message = (
+                f'no route for host {host!r} and path {request.path!r}'
+                f' in version {plan.version}'
+            )
+            return Err(Problem(ErrorKind.UNKNOWN_ROUTE, message))
+        inbound.route = route
+        inbound.service_name = self._turns.next(route)
+        inbound.tenant = inbound.caller
+        return Ok(None)
+
+
+class RouteInterface:
+    """Takes callers by the routing plan and speaks by its header names."""
+
+    def __init__(
+        self,
+        names: HeaderNames,
+        own_service: str,
+        state: OperatorState,
+        turns: WeightedTurns,
+        quarantine: Quarantine,
+        clock: Clock,
+        random: Random,
+    ) -> None:
+        """Create an interface.
+
+        Args:
+            names: The headers of callers.
+            own_service: The service of the target beside the node.
+            state: Has the routing plan.
+            turns: Divide requests among services.
+            quarantine: Knows the requests that crash targets.
+            clock: Tells the time.
+            random: Draws ids for requests without one.
+        """
+        self.filters: Sequence[Filter] = (
+            RouteFilter(state, turns),
+            DeadlineFilter(clock.now, names.deadline),
+            QuarantineFilter(quarantine, clock.now),
+        )
+        self._names = names
+        self._own_service = own_service
+        self._clock = clock
+        self._random = random
+        self._not_forwarded = names.reserved | {
+            names.deadline,
+            names.calling_service,
+        }
+
+    def correlation(self, request: Request) -> str:
+        """Return the request's id, or a new one."""
+        given = request.header(self._names.request_id)
+        return given or f'{self._random.getrandbits(_ID_BITS):016x}'
+
+    def forwarded(self, inbound: Inbound) -> Headers:
+        """Return the caller's end-to-end headers and where it called from."""
+        kept = [
+            pair
+            for pair in end_to_end(inbound.request.headers)
+            if pair[0] not in self._not_forwarded
+        ]
+        return [*kept, (self._names.calling_service, self._own_service)]
+
+    def answer(self, inbound: Inbound, response: Response) -> Response:
+        """Return the target's answer as it is."""
+        return response
+
+    def problem(
+        self,
+        inbound: Inbound,
+        problem: Problem,
+        run: Run | None,
+    ) -> Response:
+        """Return an answer that says whether to come again, and when."""
+        known = problem.answer.run if run is None else run
+        response = problem_response(problem, inbound.correlation, known)
+        response.headers.append((self._names.request_id, inbound.correlation))
+        if known is not Run.NOT_RUN:
+            return response
+        if response.status == HTTPStatus.GATEWAY_TIMEOUT:
+            # This status says nothing of whether the request has run.
+            response.status = HTTPStatus.SERVICE_UNAVAILABLE.value
+        if response.status == HTTPStatus.SERVICE_UNAVAILABLE:
+            left = inbound.deadline - self._clock.now()
+            seconds = retry_after(problem, left)
+            response.headers.append(('retry-after', f'{seconds:.3f}'))
+        return response
--- /dev/null
+++ b/bluebellsill/route_table.py
@@ -0,0 +1,59 @@
+"""Finds the route of a request by its host and path."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from bluebellsill.route import Route
+
+__all__ = ('RouteTable',)
+
+
+class RouteTable:
+    """The routes of all hosts; the longest prefix of a path wins."""
+
+    def __init__(self, routes: Iterable[tuple[str, str, Route]]) -> None:
+        """Create a table.
+
+        Args:
+            routes: Host name, path prefix and route of each rule.
+        """
+        self._by_host: dict[str, dict[str, Route]] = {}
+        for host, prefix, route in routes:
+            self._by_host.setdefault(host.lower(), {})[prefix] = route
+
+    def __len__(self) -> int:
+        """Return the number of routes."""
+        return sum(len(by_prefix) for by_prefix in self._by_host.values())
+
+    def match(self, host: str, target: str) -> Route | None:
+        """Return the route of a request, or None where none fits.
+
+        Args:
+            host: The ``Host`` header; a port in it is ignored.
+            target: The request target, a path and perhaps a query.
+        """
+        by_prefix = self._by_host.get(host.partition(':')[0].lower())
+        if by_prefix is None:
+            return None
+        path = target.partition('?')[0]
+        # Prefixes end with a slash, so only those need a look.
+        end = path.rfind('/') + 1
+        while end > 0:
+            route = by_prefix.get(path[:end])
+            if route is not None:
+                return route
+            end = path.rfind('/', 0, end - 1) + 1
+        return None
+
+    def services(self) -> set[str]:
+        """Return the names of all services that routes lead to."""
+        return {
+            part.service
+            for by_prefix in self._by_host.values()
+            for route in by_prefix.values()
+            for part in route.parts
+        }
--- a/bluebellsill/standin_command.py
+++ b/bluebellsill/standin_command.py
@@ -11,7 +11,7 @@
 from msgspec import ValidationError, json
 
 from bluebellsill import __version__
-from bluebellsill._signals import take_stop_signals
+from bluebellsill._signals import take_signals
 from bluebellsill.standin_behaviour import Behaviour
 from bluebellsill.standin_store import StandInStore
 from bluebellsill.standin_target import StandInTarget
@@ -98,7 +98,7 @@
     on_stop: Callable[[], None],
 ) -> None:
     # Only once circuits has installed its own handlers.
-    reactor.timers.after(0, lambda: take_stop_signals(reactor, on_stop))
+    reactor.timers.after(0, lambda: take_signals(reactor, on_stop))
     component.run()
 
 
--- a/bluebellsill/streams.py
+++ b/bluebellsill/streams.py
@@ -79,6 +79,8 @@
         self.owner: StreamOwner | None = None
         self.is_connected = True
         self.is_closed = False
+        self.is_ended = False
+        self.remote_host = ''
         self._closes_when_sent = False
         self._reactor = reactor
         self._socket = sock
@@ -170,6 +172,7 @@
             self.lose(str(error))
             return
         if not chunk:
+            self.is_ended = True
             self.lose('closed by the other side')
         elif self.owner is not None:
             self.owner.on_bytes(chunk)
@@ -240,10 +243,12 @@
         """Accept every connection that waits."""
         while True:
             try:
-                sock, _ = self._socket.accept()
+                sock, remote = self._socket.accept()
             except OSError:
                 return
-            self._on_accepted(Stream(self._reactor, sock))
+            stream = Stream(self._reactor, sock)
+            stream.remote_host = remote[0]
+            self._on_accepted(stream)
 
     def on_writable(self) -> None:
         """Do nothing: a listener never writes."""
--- a/bluebellsill/swim.py
+++ b/bluebellsill/swim.py
@@ -188,6 +188,10 @@
             return []
         return [self._probe(member, now)]
 
+    def meet(self, addresses: list[str]) -> list[Send]:
+        """Ask nodes that may be strangers for all that they know."""
+        return [self._sync_request(address) for address in addresses]
+
     def _push_backlog(self) -> list[Send]:
         """Send more than the usual news after many changes at once."""
         extra = min(self._news.backlog, _MAX_EXTRA)
--- a/bluebellsill/target_runner.py
+++ b/bluebellsill/target_runner.py
@@ -7,13 +7,20 @@
 
 from result import Err, Result
 
-from bluebellsill.admission import Decision, Gate, Ticket
+from bluebellsill.admission import Admission, Decision, Gate, Ticket
 from bluebellsill.errors import ErrorKind
 from bluebellsill.http import Request, Response, end_to_end
 from bluebellsill.http_client import Exchange, HttpFailure
+from bluebellsill.logs import get_logger
 from bluebellsill.messages import Answer, Call, Failure, Refusal
 from bluebellsill.resources import Service
-from bluebellsill.target_watch import Announcement, TargetWatch
+from bluebellsill.target_dialect import OwnDialect, TargetDialect
+from bluebellsill.target_watch import (
+    OWN_WATCH_RULES,
+    Announcement,
+    TargetWatch,
+    WatchRules,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -21,6 +28,7 @@
     from bluebellsill.metrics import Metrics
     from bluebellsill.quarantine import Quarantine
     from bluebellsill.reactor import Reactor
+    from bluebellsill.timers import Timer
 
 __all__ = ('Run', 'TargetOwner', 'TargetRunner')
 
@@ -72,22 +80,58 @@
         owner: TargetOwner,
         quarantine: Quarantine,
         metrics: Metrics,
+        gate: Admission | None = None,
+        dialect: TargetDialect | None = None,
+        rules: WatchRules = OWN_WATCH_RULES,
     ) -> None:
-        """Create a runner that has not heard of a target."""
-        self.gate = Gate(1)
+        """Create a runner that has not heard of a target.
+
+        Args:
+            reactor: Waits for the sockets.
+            owner: The node.
+            quarantine: Knows the requests that crash targets.
+            metrics: Count what becomes of calls.
+            gate: Decides what runs; by default it finds the limit out.
+            dialect: How to speak to the target; the project's by default.
+            rules: How the target is watched.
+        """
+        self.gate: Admission = gate or Gate(1)
+        self._dialect: TargetDialect = dialect or OwnDialect()
         self._reactor = reactor
         self._clock = reactor.timers.clock
         self._owner = owner
         self._quarantine = quarantine
         self._metrics = metrics
-        self._watch = TargetWatch(reactor, self, metrics)
+        self._watch = TargetWatch(
+            reactor,
+            self,
+            metrics,
+            self._dialect,
+            rules,
+        )
+        self._log = get_logger('runner')
         self._runs_by_ticket: dict[Ticket, Run] = {}
+        self._start_timer: Timer | None = None
 
     @property
     def announcement(self) -> Announcement | None:
         """The last word of the target, or None without one."""
         return self._watch.announcement
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether a target is there that wants work."""
+        return self._watch.is_ready
+
+    @property
+    def opened_connections(self) -> int:
+        """The number of connections opened to the present target so far."""
+        return self._watch.pool.opened if self._watch.pool else 0
+
+    def doubt_temperature(self) -> None:
+        """Take the target for cold until it says otherwise."""
+        self._watch.doubt_temperature()
+
     @property
     def in_flight(self) -> int:
         """The number of calls that run or wait."""
@@ -96,7 +140,9 @@
     def announce(self, announcement: Announcement) -> None:
         """Take in a target's word."""
         self._watch.announce(announcement)
-        self.gate.ramp.resize(self._watch.service.slots)
+        self.gate.resize(announcement.slots or self._watch.service.slots)
+        if announcement.is_leaving:
+            self.refuse_queue(ErrorKind.LEAVING)
 
     # The watch asks these.
 
@@ -106,7 +152,12 @@
 
     def on_target_cold(self) -> None:
         """Start to ramp up again."""
-        self.gate.ramp.on_cold()
+        self.gate.on_cold()
+
+    def on_target_temperature(self, cold_until: float) -> None:
+        """Bound the starts while the target is cold."""
+        self.gate.set_cold(cold_until, self._watch.service.cold_per_s)
+        self._admit()
 
     def on_target_changed(self) -> None:
         """Pass the news on."""
@@ -137,13 +188,13 @@
         if kind is not None:
             respond(self._refuse(call, kind))
             return None
-        ticket = Ticket(call.priority, now + call.budget_ms / 1000)
+        ticket = _ticket(call, now)
         run = Run(call, ticket, respond)
         decision, shed = self.gate.offer(ticket, now)
         if shed is not None:
             self._respond_refused(shed, ErrorKind.OVERLOADED)
         if decision is Decision.REFUSE:
-            respond(self._refuse(call, ErrorKind.OVERLOADED))
+            respond(self._refuse(call, ErrorKind.OVERLOADED, ticket))
             return None
         self._runs_by_ticket[ticket] = run
         if decision is Decision.RUN:
@@ -151,18 +202,32 @@
         else:
             wait = ticket.leaves_queue_at - now
             self._reactor.timers.after(wait, self._expire_queue)
+            self._wake_for_start(now)
         return run
 
     def cancel(self, run: Run) -> None:
-        """Stop a call for which nobody waits any more."""
-        if self._runs_by_ticket.pop(run.ticket, None) is None:
+        """Stop a call for which nobody waits any more.
+
+        One that runs and is not idempotent goes on: nobody could tell how
+        far it has come.
+        """
+        if run.ticket not in self._runs_by_ticket:
             return
         if self.gate.withdraw(run.ticket):
+            del self._runs_by_ticket[run.ticket]
             return
+        if not run.call.is_idempotent:
+            return
+        del self._runs_by_ticket[run.ticket]
         if run.exchange is not None:
             run.exchange.cancel()
         self._free(run.ticket)
 
+    def refuse_queue(self, kind: ErrorKind) -> None:
+        """Refuse every call that waits."""
+        for ticket in self.gate.drop_queue():
+            self._respond_refused(ticket, kind)
+
     def on_failed_below(self, correlation: str) -> None:
         """A call that the target made for one of its runs has failed.
 
@@ -194,36 +259,61 @@
             return ErrorKind.NO_TARGET
         if announcement.is_leaving:
             return ErrorKind.LEAVING
+        if not self._watch.is_ready:
+            return ErrorKind.NO_TARGET
         if self._quarantine.is_refused(call.fingerprint, now):
             return ErrorKind.QUARANTINED
         if call.budget_ms <= 0:
             return ErrorKind.EXPIRED
         return self._owner.refusal()
 
-    def _refuse(self, call: Call, kind: ErrorKind) -> Refusal:
+    def _refuse(
+        self,
+        call: Call,
+        kind: ErrorKind,
+        ticket: Ticket | None = None,
+        *,
+        has_arrived: bool = False,
+    ) -> Refusal:
         self._metrics.counts[f'refused_{kind.value}'] += 1
-        return Refusal(call.id, kind.value, self.gate.load, self.gate.limit)
+        retry_after = ticket.retry_after if ticket else 0
+        self._log.info(
+            'refused',
+            correlation=call.correlation,
+            kind=kind.value,
+            in_flight=self.gate.in_flight,
+            load=self.gate.load,
+            limit=self.gate.limit,
+            retry_after_ms=int(retry_after * 1000),
+            by_target=has_arrived,
+        )
+        return Refusal(
+            call.id,
+            kind.value,
+            self.gate.load,
+            self.gate.limit,
+            int(retry_after * 1000),
+            has_arrived,
+        )
 
     def _respond_refused(self, ticket: Ticket, kind: ErrorKind) -> None:
         run = self._runs_by_ticket.pop(ticket, None)
         if run is not None:
-            run.respond(self._refuse(run.call, kind))
+            run.respond(self._refuse(run.call, kind, ticket))
 
     def _dispatch(self, run: Run) -> None:
         call = run.call
         pool = self._watch.pool
+        announcement = self.announcement
         timeout = run.ticket.expires_at - self._clock.now()
-        if pool is None or timeout <= 0:
+        if pool is None or announcement is None or timeout <= 0:
+            is_late = timeout <= 0
+            kind = ErrorKind.EXPIRED if is_late else ErrorKind.NO_TARGET
             self._runs_by_ticket.pop(run.ticket, None)
             self._free(run.ticket)
-            run.respond(self._refuse(call, ErrorKind.EXPIRED))
+            run.respond(self._refuse(call, kind))
             return
-        headers = [
-            *call.headers,
-            ('host', str(pool.address)),
-            ('bluebellsill-deadline-ms', str(int(timeout * 1000))),
-            ('bluebellsill-correlation', call.correlation),
-        ]
+        headers = self._dialect.headers(call, timeout, announcement)
         request = Request(call.method, call.path, headers, call.body)
         run.exchange = pool.request(
             request,
@@ -246,17 +336,21 @@
 
     def _on_answered(self, run: Run, response: Response) -> None:
         call = run.call
-        now = self._clock.now()
         self._watch.on_answer()
+        rejection = self._dialect.rejection(response)
+        if rejection is not None:
+            if rejection is not ErrorKind.OVERLOADED:
+                self._watch.check_soon()
+            run.respond(self._refuse(call, rejection, has_arrived=True))
+            return
         is_error = response.status >= HTTPStatus.INTERNAL_SERVER_ERROR
         has_failed_below = run.has_failed_below and is_error
         if not is_error:
-            latency = now - run.ticket.started_at
-            self.gate.ramp.on_answer(latency, self.gate.in_flight)
+            self.gate.on_answer(run.ticket, self._clock.now())
         elif response.status == HTTPStatus.SERVICE_UNAVAILABLE:
             # What a service below sheds says nothing of this target.
             if not has_failed_below:
-                self.gate.ramp.on_shed()
+                self.gate.on_shed()
         if self._quarantine.on_answer(call.fingerprint):
             self._owner.on_cleared(call.fingerprint)
         run.respond(
@@ -274,7 +368,7 @@
     def _on_failed(self, run: Run, failure: HttpFailure) -> None:
         call = run.call
         if failure.is_timeout:
-            self.gate.ramp.on_shed()
+            self.gate.on_shed()
             run.respond(Failure(call.id, ErrorKind.TIMED_OUT.value, False))
             return
         if not failure.is_sent:
@@ -283,7 +377,7 @@
             run.respond(self._refuse(call, ErrorKind.NO_TARGET))
             return
         running = [one.call.fingerprint for one in self._running_with(run)]
-        self.gate.ramp.on_shed()
+        self.gate.on_shed()
         # The answer waits until the other nodes have been told of a crash.
         self._watch.on_loss(
             running,
@@ -302,9 +396,31 @@
 
     def _free(self, ticket: Ticket) -> None:
         self.gate.finish(ticket)
-        for admitted in self.gate.admit(self._clock.now()):
+        self._admit()
+
+    def _admit(self) -> None:
+        now = self._clock.now()
+        for admitted in self.gate.admit(now):
             self._dispatch(self._runs_by_ticket[admitted])
+        self._wake_for_start(now)
+
+    def _wake_for_start(self, now: float) -> None:
+        wait = self.gate.next_start(now)
+        if wait is None:
+            return
+        if self._start_timer is not None:
+            self._start_timer.cancel()
+        self._start_timer = self._reactor.timers.after(wait, self._admit)
 
     def _expire_queue(self) -> None:
         for ticket in self.gate.expire(self._clock.now()):
             self._respond_refused(ticket, ErrorKind.OVERLOADED)
+
+
+def _ticket(call: Call, now: float) -> Ticket:
+    ticket = Ticket(call.priority, now + call.budget_ms / 1000)
+    if call.target_latency_ms:
+        ticket.wanted_at = now + call.target_latency_ms / 1000
+    ticket.route = call.route
+    ticket.is_inner = call.is_inner
+    return ticket
--- a/bluebellsill/target_watch.py
+++ b/bluebellsill/target_watch.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
 from msgspec import Struct
+from msgspec.structs import replace
 from result import Err, Result
 
 from bluebellsill._connect_check import ConnectCheck
@@ -21,13 +23,19 @@
 
     from bluebellsill.metrics import Metrics
     from bluebellsill.reactor import Reactor
+    from bluebellsill.target_dialect import TargetDialect, TargetHealth
 
-__all__ = ('Announcement', 'TargetWatch', 'WatchOwner')
+__all__ = (
+    'OWN_WATCH_RULES',
+    'Announcement',
+    'TargetWatch',
+    'WatchOwner',
+    'WatchRules',
+)
 
-ANNOUNCEMENT_LIFETIME = 3.0  # seconds
 _CHECK_PERIOD = 0.1  # seconds
-_QUIET_BEFORE_PROBE = 1.0  # seconds without an answer
 _PROBE_TIMEOUT = 1.0  # seconds
+_UNKNOWN_COLD = 10.0  # seconds; a target is cold until it says otherwise
 _MAX_FAILED_PROBES = 2
 
 
@@ -39,12 +47,42 @@
         address: Where the target answers, ``host:port``.
         start_id: Differs after each start of the target.
         is_leaving: Whether the target wants no new work.
+        slots: The requests that it runs at a time, 0 if it does not say.
+        cold_seconds: How long it stays cold, None if it does not say.
+        name: What requests to it call it, where they do.
     """
 
     service: str
     address: str
     start_id: str
     is_leaving: bool = False
+    slots: int = 0
+    cold_seconds: float | None = None
+    name: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class WatchRules:
+    """How closely a target is watched.
+
+    Attributes:
+        announcement_lifetime: Seconds after which a silent target is lost.
+        probe_period: Seconds without news until the target is probed.
+        probes_busy: Whether answers leave the need for probes, because
+            only probes tell whether the target has turned cold.
+        confirm_after: Seconds for which the first announcement that a node
+            hears must stand, unless a probe confirms it; it may be a late
+            one of a target that has said farewell to the node's former
+            life. None trusts it at once.
+    """
+
+    announcement_lifetime: float = 3.0
+    probe_period: float = 1.0
+    probes_busy: bool = False
+    confirm_after: float | None = None
+
+
+OWN_WATCH_RULES = WatchRules()
 
 
 class WatchOwner(Protocol):
@@ -56,6 +94,9 @@
     def on_target_cold(self) -> None:
         """The target has started, or is lost."""
 
+    def on_target_temperature(self, cold_until: float) -> None:
+        """The target has said how long it stays cold."""
+
     def on_target_changed(self) -> None:
         """The target has come, is leaving or has gone."""
 
@@ -71,17 +112,24 @@
         reactor: Reactor,
         owner: WatchOwner,
         metrics: Metrics,
+        dialect: TargetDialect,
+        rules: WatchRules = OWN_WATCH_RULES,
     ) -> None:
         """Create a watch that has not heard of a target."""
         self.announcement: Announcement | None = None
         self.pool: HttpPool | None = None
+        self.start_id = ''
+        self._dialect = dialect
+        self._rules = rules
+        self._is_confirmed = rules.confirm_after is None
         self._reactor = reactor
         self._clock = reactor.timers.clock
         self._owner = owner
         self._metrics = metrics
-        self._start_id = ''
         self._announced_at: float = 0
+        self._first_announced_at: float = 0
         self._answered_at: float = 0
+        self._probed_at: float = 0
         self._losses = Losses()
         self._is_probing = False
         self._connect_check: ConnectCheck | None = None
@@ -93,8 +141,10 @@
     @property
     def is_ready(self) -> bool:
         """Whether a target is there that wants work."""
-        return self.announcement is not None and (
-            not self.announcement.is_leaving
+        return (
+            self._is_confirmed
+            and self.announcement is not None
+            and not self.announcement.is_leaving
         )
 
     @property
@@ -106,13 +156,25 @@
     def announce(self, announcement: Announcement) -> None:
         """Take in a target's word."""
         known = self.announcement
-        self._announced_at = self._clock.now()
+        now = self._clock.now()
+        self._announced_at = now
         self.announcement = announcement
         if known is None or known.start_id != announcement.start_id:
             self._on_started(announcement)
-        if known != announcement:
+        if announcement.cold_seconds is not None:
+            self._set_cold(announcement.cold_seconds)
+        was_ready = known is not None and self._is_confirmed
+        self._confirm_by_age(now)
+        if not was_ready or _differ(known, announcement):
             self._owner.on_target_changed()
 
+    def doubt_temperature(self) -> None:
+        """Take the target for cold until it says otherwise."""
+        if self.announcement is None:
+            return
+        self._set_cold(_UNKNOWN_COLD)
+        self._probe()
+
     def on_answer(self) -> None:
         """The target has answered a request."""
         self._answered_at = self._clock.now()
@@ -156,25 +218,56 @@
         # What is in flight was at the former start of the target.
         self.close()
         self._confirm_crash()
-        self._start_id = announcement.start_id
+        self.start_id = announcement.start_id
         address = Address.parse(announcement.address)
-        self.pool = HttpPool(self._reactor, address)
+        rules = self._dialect.answer_rules
+        self.pool = HttpPool(self._reactor, address, rules)
+        self._first_announced_at = self._clock.now()
         self.on_answer()
         self._owner.on_target_cold()
-        self._log.info('target started', service=announcement.service)
+        self._log.info(
+            'target started',
+            service=announcement.service,
+            start_id=announcement.start_id,
+            address=announcement.address,
+            slots=announcement.slots,
+            cold_seconds=announcement.cold_seconds,
+            confirmed=self._is_confirmed,
+        )
+        if not self._is_confirmed:
+            self._probe()
+
+    def _confirm_by_age(self, now: float) -> None:
+        after = self._rules.confirm_after
+        if self._is_confirmed or after is None:
+            return
+        if now - self._first_announced_at >= after:
+            self._confirm('announced again')
+
+    def _confirm(self, reason: str) -> None:
+        self._is_confirmed = True
+        self._log.info('target confirmed', reason=reason)
+
+    def _set_cold(self, seconds: float) -> None:
+        now = self._clock.now()
+        self._owner.on_target_temperature(now + seconds if seconds else 0)
 
     def _check(self) -> None:
         if self.announcement is None:
             return
         now = self._clock.now()
-        if now - self._announced_at > ANNOUNCEMENT_LIFETIME:
+        news_at = self._probed_at
+        if not self._rules.probes_busy:
+            news_at = max(news_at, self._answered_at)
+        if now - self._announced_at > self._rules.announcement_lifetime:
             self._lose('announcement lapsed')
-        elif now - self._answered_at > _QUIET_BEFORE_PROBE:
-            self._probe(now)
+        elif now - news_at > self._rules.probe_period:
+            self._probe()
 
-    def _probe(self, now: float) -> None:
+    def _probe(self) -> None:
         if self.pool is None or self._is_probing:
             return
+        now = self._clock.now()
         service = self.service
         cost, budget = service.probe_cost_ms, service.probe_budget_ms
         if self._probe_budget is None:
@@ -183,6 +276,7 @@
         if not self._probe_budget.take(now):
             return
         self._is_probing = True
+        self._probed_at = now
         self._metrics.counts['probes'] += 1
         headers = [('host', str(self.pool.address))]
         request = Request('GET', service.health_path, headers)
@@ -193,12 +287,30 @@
         if not isinstance(done, Err):
             # Health reports may lie: they never raise the limit.
             self._failed_probes = 0
+            self._on_health(self._dialect.health(done.ok_value))
             return
         self._failed_probes += 1
+        if self._rules.probes_busy and self._has_answered_lately():
+            # The target works, whatever its health reports.
+            return
         is_refused = not done.err_value.is_sent
         if is_refused or self._failed_probes >= _MAX_FAILED_PROBES:
             self._lose(f'probe failed: {done.err_value.reason}')
 
+    def _on_health(self, health: TargetHealth) -> None:
+        announcement = self.announcement
+        if announcement is None or health.name not in {'', announcement.name}:
+            return
+        if health.cold_seconds is not None:
+            self._set_cold(health.cold_seconds)
+        if not self._is_confirmed and health.is_serving:
+            self._confirm('probe answered')
+            self._owner.on_target_changed()
+
+    def _has_answered_lately(self) -> bool:
+        age = self._clock.now() - self._answered_at
+        return age <= self._rules.probe_period
+
     def _on_checked(self, is_there: bool) -> None:  # noqa: FBT001
         self._connect_check = None
         if is_there:
@@ -224,6 +336,16 @@
         losses = self._losses.take(now)
         fingerprints = {one for loss in losses for one in loss.fingerprints}
         if fingerprints and self.pool is not None:
-            self._owner.on_crash(self._start_id, sorted(fingerprints))
+            self._owner.on_crash(self.start_id, sorted(fingerprints))
         for loss in losses:
             loss.tell(has_crashed=True)
+
+
+def _differ(known: Announcement | None, announcement: Announcement) -> bool:
+    """Return whether others need to hear of an announcement."""
+    if known is None:
+        return True
+    return replace(known, cold_seconds=None) != replace(
+        announcement,
+        cold_seconds=None,
+    )
--- /dev/null
+++ b/bluebellsill/weights.py
@@ -0,0 +1,51 @@
+"""Divides the requests of a route among services by weight."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from bluebellsill.route import Part, Route
+
+if TYPE_CHECKING:
+    from random import Random
+
+__all__ = ('WeightedTurns',)
+
+_Key = tuple[str, tuple[Part, ...]]
+
+
+class WeightedTurns:
+    """Takes the parts of each route in an even, exact rotation.
+
+    Smooth weighted round robin: over any run of requests each part gets
+    its share, off by one request at most. Each node starts at a random
+    point of the rotation, so that many nodes with few requests each do not
+    all begin with the heaviest part.
+    """
+
+    def __init__(self, random: Random) -> None:
+        """Create turns that start at points drawn from ``random``."""
+        self._random = random
+        self._credit_by_route: dict[_Key, list[float]] = {}
+
+    def next(self, route: Route) -> str:
+        """Return the service for the next request of a route."""
+        parts = route.parts
+        if len(parts) == 1:
+            return parts[0].service
+        key = (route.name, parts)
+        credit = self._credit_by_route.get(key)
+        if credit is None:
+            credit = [0.0 for _ in parts]
+            self._credit_by_route[key] = credit
+            total = sum(part.weight for part in parts)
+            for _ in range(self._random.randrange(total)):
+                self._advance(parts, credit)
+        return parts[self._advance(parts, credit)].service
+
+    def _advance(self, parts: tuple[Part, ...], credit: list[float]) -> int:
+        for index, part in enumerate(parts):
+            credit[index] += part.weight
+        chosen = max(range(len(parts)), key=credit.__getitem__)
+        credit[chosen] -= sum(part.weight for part in parts)
+        return chosen
--- a/tests/node_session.py
+++ b/tests/node_session.py
@@ -15,7 +15,8 @@
 
 from bluebellsill import _connect_check, http_client, peers
 from bluebellsill.acceptance import Acceptance
-from bluebellsill.choice import ChoiceName
+from bluebellsill.caller_interface import OwnInterface
+from bluebellsill.choice import TwoChoices
 from bluebellsill.clock import ManualClock
 from bluebellsill.configuration import Change, Configuration
 from bluebellsill.crash_spread import CrashSpread
@@ -38,8 +39,10 @@
 )
 from bluebellsill.metrics import Metrics
 from bluebellsill.peers import PeerLinks
+from bluebellsill.placement import Placement
 from bluebellsill.quarantine import Quarantine
 from bluebellsill.resources import OUTSIDE, Kind, Service
+from bluebellsill.retries import RetryBudget
 from bluebellsill.streams import Address
 from bluebellsill.target_runner import Run, TargetRunner
 from bluebellsill.target_watch import Announcement
@@ -105,16 +108,26 @@
             self.configuration,
             lambda: self.is_fresh,
         )
+        random = Random(1)
         self.gateway = Gateway(
-            self.members,
-            self.configuration,
+            OWN,
+            OwnInterface(
+                self.members,
+                self.configuration,
+                quarantine,
+                self.clock,
+                random,
+            ),
+            Placement(
+                self.members,
+                self.configuration,
+                lambda: TwoChoices(random, self.members.own.zone),
+                RetryBudget,
+            ),
             self.links,
             self.runner,
-            quarantine,
             metrics,
             self.keys,
-            Random(1),
-            ChoiceName.TWO_CHOICES,
         )
 
     # The runner asks these.
--- a/tests/played.py
+++ b/tests/played.py
@@ -12,7 +12,11 @@
     from tests.node_session import NodeSession
 
 _HIDDEN = frozenset(
-    ('correlation', 'fingerprint', 'headers', 'body', 'holders'),
+    ('correlation', 'fingerprint', 'headers', 'body', 'holders', 'route'),
+)
+# Fields that few messages use; they are shown where they say something.
+_OPTIONAL = frozenset(
+    ('has_arrived', 'is_inner', 'retry_ms', 'target_latency_ms'),
 )
 
 
@@ -93,5 +97,6 @@
         f'{name}={text!r}'.replace(r'\x00', '/')
         for name, text in fields.items()
         if name not in _HIDDEN and text != ''
+        if text or name not in _OPTIONAL
     ]
     return f'{type(message).__name__}({", ".join(texts)})'
--- a/tests/test_target_watch.py
+++ b/tests/test_target_watch.py
@@ -15,6 +15,7 @@
 from bluebellsill.reactor import Source
 from bluebellsill.resources import Service
 from bluebellsill.streams import Address
+from bluebellsill.target_dialect import OwnDialect
 from bluebellsill.target_watch import Announcement, TargetWatch
 from bluebellsill.timers import TimerService
 
@@ -39,6 +40,9 @@
         """Count."""
         self.changes += 1
 
+    def on_target_temperature(self, cold_until: float) -> None:
+        """Ignore what the target says of being cold."""
+
     def on_crash(self, start_id: str, fingerprints: list[int]) -> None:
         """Note the fingerprints."""
         self.crashes.append(fingerprints)
@@ -61,7 +65,12 @@
             want_write=lambda *_, **__: None,
             remove=self.sources.remove,
         )
-        self.watch = TargetWatch(reactor, self.owner, Metrics())  # type: ignore[arg-type]
+        self.watch = TargetWatch(
+            reactor,
+            self.owner,
+            Metrics(),
+            OwnDialect(),
+        )
         self.has_crashed: list[bool] = []
 
     def announce(self, start_id: str, *, is_leaving: bool = False) -> None:
