Start work in a calm moment, and ask targets before waiting at one

Cause: work keeps the slowness that its target has when it starts.

Ruled out: queueing (6 slots, two of them busy), the network, our processor time (0.014 cores).

Change: the node asks its target for the slowness right before a start (0.2 ms) and waits for the spell's end where that is sooner; an entry node asks targets for an immediate start first, and waits where the wait is shortest.

--- a/bluebellsill/admission.py
+++ b/bluebellsill/admission.py
@@ -34,6 +34,9 @@
         wanted_at: Until when an answer is of full use, 0 if nobody says.
         route: Names requests that take about as long.
         is_inner: Whether a request that runs waits for the call.
+        may_wait: Whether the call may wait here; one that may not is tried
+            elsewhere first.
+        slowness: How many times longer than usual work took at the start.
         retry_after: Seconds after which a refused call may find a slot.
     """
 
@@ -44,6 +47,8 @@
     wanted_at: float = 0
     route: str = ''
     is_inner: bool = False
+    may_wait: bool = True
+    slowness: float = 1
     retry_after: float = 0
 
 
@@ -100,6 +105,12 @@
     def resize(self, slots: int) -> None:
         """Set what the target bears when warm."""
 
+    def wants_measure(self, now: float) -> bool:
+        """Return whether the target is to be asked for its slowness."""
+
+    def on_slowness(self, factor: float, now: float) -> None:
+        """Take in how many times longer than usual work takes now."""
+
 
 class Gate:
     """Counts exactly what runs at one target and never exceeds its limit.
@@ -219,6 +230,13 @@
         """Set what the target bears when warm."""
         self.ramp.resize(slots)
 
+    def wants_measure(self, now: float) -> bool:
+        """Return False: latencies tell enough."""
+        return False
+
+    def on_slowness(self, factor: float, now: float) -> None:
+        """Do nothing: latencies tell enough."""
+
     def _patience(self, ticket: Ticket, now: float) -> float:
         """Return how long waiting makes sense, in seconds.
 
--- a/bluebellsill/calls.py
+++ b/bluebellsill/calls.py
@@ -118,6 +118,7 @@
             self._target_latency_ms(),
             inbound.route.name,
             inbound.caller != OUTSIDE,
+            place.may_wait,
         )
 
     def _target_latency_ms(self) -> int:
@@ -141,6 +142,7 @@
                     reply.limit,
                     has_arrived=reply.has_arrived,
                     retry_after=reply.retry_ms / 1000,
+                    slowness=reply.slowness,
                 ),
             )
         elif isinstance(reply, Failure):
@@ -166,6 +168,7 @@
             answer.in_flight,
             answer.limit,
             has_failed_below=answer.has_failed_below,
+            slowness=answer.slowness,
         )
         if again is not None:
             self._act(again)
--- a/bluebellsill/choice.py
+++ b/bluebellsill/choice.py
@@ -14,6 +14,7 @@
     'Choice',
     'ChoiceName',
     'LeastReported',
+    'NearestFree',
     'RandomChoice',
     'RoundRobin',
     'TwoChoices',
@@ -23,6 +24,9 @@
 
 _CLEARLY = 1.3  # ratio of costs from which a difference is not chance
 _TURN_BITS = 16
+# In units of one usual answer:
+_FAR = 0.3  # what bytes between zones and the way there are worth
+_LOAD_WEIGHT = 0.4  # of a full target against an empty one
 
 
 @unique
@@ -113,6 +117,40 @@
         )
 
 
+class NearestFree:
+    """Takes the target that is expected to start and end the call first.
+
+    For targets that say how slow their VM is at the moment: work keeps the
+    pace that it starts with, so a far target at its usual pace is better
+    than a near one that is slowed. Among equals the own zone comes first,
+    then targets in turn.
+    """
+
+    def __init__(self, random: Random, own_zone: str) -> None:
+        """Start at a random target and prefer ``own_zone``."""
+        self._own_zone = own_zone
+        self._turn = random.getrandbits(_TURN_BITS)
+
+    def pick(self, candidates: list[TargetView], now: float) -> TargetView:
+        """Return the target with the lowest expected time."""
+        self._turn += 1
+        start = self._turn % len(candidates)
+        in_turn = [*candidates[start:], *candidates[:start]]
+        return min(in_turn, key=lambda view: self._cost(view, now))
+
+    def _cost(self, view: TargetView, now: float) -> float:
+        load = view.expected_load(now)
+        # Whole rounds of slots that are taken before the call has one.
+        rounds = max(0, load + 1 - view.limit) / view.limit
+        distance = 0 if view.zone == self._own_zone else _FAR
+        return (
+            view.expected_slowness(now)
+            + rounds
+            + distance
+            + _LOAD_WEIGHT * load / view.limit
+        )
+
+
 def make_choice(name: ChoiceName, random: Random, own_zone: str) -> Choice:
     """Return the way that the settings name."""
     if name is ChoiceName.RANDOM:
--- a/bluebellsill/dispatch.py
+++ b/bluebellsill/dispatch.py
@@ -32,10 +32,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Place:
-    """Send the call to a target's node, for a limited time."""
+    """Send the call to a target's node, for a limited time.
+
+    Attributes:
+        node_id: The node beside the target.
+        seconds: The time of the try.
+        may_wait: Whether the call may wait there for its turn.
+    """
 
     node_id: str
     seconds: float
+    may_wait: bool = True
 
 
 class Dispatch:
@@ -54,6 +61,7 @@
         deadline: float,
         is_idempotent: bool,
         max_sends: int = _MAX_TRIES,
+        asks_first: bool = False,
     ) -> None:
         """Prepare a call.
 
@@ -64,6 +72,8 @@
             deadline: When nobody waits any more.
             is_idempotent: Whether running twice does no harm.
             max_sends: How many targets may be handed the call.
+            asks_first: Whether to look for a target that takes the call at
+                once, and to let it wait only where there is none.
         """
         self._router = router
         self._budget = budget
@@ -71,6 +81,9 @@
         self._deadline = deadline
         self._is_idempotent = is_idempotent
         self._max_sends = max_sends
+        self._asks_first = asks_first
+        self._may_wait = not asks_first
+        self._waits_by_node: dict[str, float] = {}
         self._sends = 0
         self._retry_after: float = 0
         self._tried: list[str] = []
@@ -92,6 +105,7 @@
         limit: int,
         *,
         has_failed_below: bool = False,
+        slowness: float = 1,
     ) -> Place | None:
         """Take in a whole answer and the load at the target's node.
 
@@ -102,6 +116,7 @@
             has_failed_below: Whether a service that the target called
                 failed. It was tried again there, so that a fault at the
                 end of a chain is not multiplied at each step.
+            slowness: How many times longer than usual work takes there.
 
         Returns:
             Where to try again, or None to pass the answer on.
@@ -111,6 +126,7 @@
         self._sends += 1
         if view is not None:
             view.on_report(load, limit, now)
+            view.on_slowness(slowness, now)
             if status < HTTPStatus.INTERNAL_SERVER_ERROR:
                 view.on_latency(now - self._sent_at, now)
             elif not has_failed_below:
@@ -134,6 +150,7 @@
         *,
         has_arrived: bool = False,
         retry_after: float = 0,
+        slowness: float = 1,
     ) -> Place | Problem:
         """Take in a refusal: the target did not run the call.
 
@@ -144,6 +161,7 @@
             has_arrived: Whether the target itself refused the call, and
                 not the node beside it.
             retry_after: Seconds until a slot is free there, 0 if unknown.
+            slowness: How many times longer than usual work takes there.
         """
         view = self._end_try()
         now = self._clock.now()
@@ -151,8 +169,12 @@
         if retry_after:
             soonest = self._retry_after or retry_after
             self._retry_after = min(soonest, retry_after)
+        is_asked = kind is ErrorKind.OVERLOADED and not self._may_wait
+        if is_asked and view is not None and not has_arrived:
+            self._waits_by_node[view.id] = retry_after
         if view is not None:
             view.on_report(max(load, limit), limit, now)
+            view.on_slowness(slowness, now)
             if kind is not ErrorKind.OVERLOADED:
                 view.on_failure(now)
             elif has_arrived:
@@ -202,19 +224,32 @@
     def _place(self, problem: Problem) -> Place | Problem:
         now = self._clock.now()
         left = self._deadline - now
-        is_spent = len(self._tried) >= _MAX_TRIES or (
-            self._sends >= self._max_sends
-        )
-        if is_spent or left < _MIN_BUDGET:
+        if self._sends >= self._max_sends or left < _MIN_BUDGET:
             return self._final(problem)
-        view = self._router.choose(self._tried, now)
+        view = self._next_view(now)
         if view is None:
             return self._final(problem)
         self._tried.append(view.id)
         self._view = view
         self._sent_at = now
         view.started.append(now)
-        return Place(view.id, self._seconds(view, left))
+        return Place(view.id, self._seconds(view, left), self._may_wait)
+
+    def _next_view(self, now: float) -> TargetView | None:
+        """Return the target to try next.
+
+        Once every target that was asked has refused to take the call at
+        once, it waits where the wait is shortest.
+        """
+        if len(self._tried) < _MAX_TRIES:
+            view = self._router.choose(self._tried, now)
+            if view is not None:
+                return view
+        if self._may_wait or not self._waits_by_node:
+            return None
+        self._may_wait = True
+        shortest = min(self._waits_by_node, key=self._waits_by_node.__getitem__)
+        return self._router.views_by_id.get(shortest)
 
     def _seconds(self, view: TargetView, left: float) -> float:
         """Return the time of a try.
--- a/bluebellsill/gateway.py
+++ b/bluebellsill/gateway.py
@@ -43,6 +43,8 @@
         runner: TargetRunner,
         metrics: Metrics,
         key_holders: KeyHolders | None = None,
+        *,
+        asks_first: bool = False,
     ) -> None:
         """Create a gateway.
 
@@ -55,6 +57,8 @@
             metrics: Count what callers get.
             key_holders: Reach the holders of idempotency keys; None where
                 the interface knows no keys.
+            asks_first: Whether calls look for a target that takes them at
+                once before they wait.
         """
         self.in_flight = 0
         self._own_id = own_id
@@ -64,6 +68,7 @@
         self._runner = runner
         self._metrics = metrics
         self._key_holders = key_holders
+        self._asks_first = asks_first
         self._clock = links.reactor.timers.clock
         self._log = get_logger('gateway')
 
@@ -129,6 +134,7 @@
             deadline=inbound.deadline,
             is_idempotent=inbound.is_idempotent,
             max_sends=inbound.route.max_sends,
+            asks_first=self._asks_first,
         )
         return PlacedCall(
             inbound,
--- a/bluebellsill/mesh_node.py
+++ b/bluebellsill/mesh_node.py
@@ -10,7 +10,7 @@
 
 from bluebellsill._signals import take_signals
 from bluebellsill.acceptance import Acceptance
-from bluebellsill.choice import TwoChoices
+from bluebellsill.choice import NearestFree
 from bluebellsill.clock import SystemClock
 from bluebellsill.crash_spread import CrashSpread
 from bluebellsill.discovery import Discovery
@@ -252,12 +252,13 @@
             Placement(
                 members,
                 self._state,
-                lambda: TwoChoices(self._random, members.own.zone),
+                lambda: NearestFree(self._random, members.own.zone),
                 self._retry_budget,
             ),
             self._peers.links,
             self._runner,
             self._metrics,
+            asks_first=True,
         )
         self._caller_server = HttpServer(
             self._reactor,
--- a/bluebellsill/messages.py
+++ b/bluebellsill/messages.py
@@ -86,6 +86,8 @@
             0 where none are stated.
         route: Names requests that take about as long.
         is_inner: Whether a target that runs a request waits for the call.
+        may_wait: Whether the call may wait at the receiving node; one that
+            may not is tried elsewhere first.
     """
 
     id: int
@@ -104,6 +106,7 @@
     target_latency_ms: int = 0
     route: str = ''
     is_inner: bool = False
+    may_wait: bool = True
 
 
 class Answer(WireMessage, frozen=True, tag=5):
@@ -118,6 +121,7 @@
         limit: Calls that may run there.
         has_failed_below: Whether the target failed because a service that
             it called failed, which has been tried again there.
+        slowness: How many times longer than usual work takes there.
     """
 
     id: int
@@ -127,6 +131,7 @@
     in_flight: int
     limit: int
     has_failed_below: bool = False
+    slowness: float = 1
 
 
 class Refusal(WireMessage, frozen=True, tag=6):
@@ -140,6 +145,7 @@
         retry_ms: Milliseconds until a slot may be free, 0 if unknown.
         has_arrived: Whether the target itself refused the call, and not
             the node beside it.
+        slowness: How many times longer than usual work takes there.
     """
 
     id: int
@@ -148,6 +154,7 @@
     limit: int
     retry_ms: int = 0
     has_arrived: bool = False
+    slowness: float = 1
 
 
 class Failure(WireMessage, frozen=True, tag=7):
--- a/bluebellsill/platform/headers.py
+++ b/bluebellsill/platform/headers.py
@@ -9,6 +9,7 @@
     'COLD_LEFT',
     'DEADLINE',
     'EXPECTED_TARGET',
+    'LOAD',
     'NOT_RUN',
     'REQUEST_ID',
     'TARGET_NAME',
@@ -24,6 +25,8 @@
 TARGET_NAME = 'bluebellsill-instance-id'
 # A target that has not run a request says so by this header.
 NOT_RUN = 'bluebellsill-not-executed'
+# A target's load, and how much longer than usual work takes there.
+LOAD = 'bluebellsill-server-load'
 # Milliseconds that a target stays cold, in the answers to probes.
 COLD_LEFT = 'bluebellsill-cold-ms'
 
--- a/bluebellsill/platform/routing_document.py
+++ b/bluebellsill/platform/routing_document.py
@@ -19,9 +19,9 @@
 _VERSION_TAG = 'r'
 _IDEMPOTENT = 'idempotent'
 _LEAST_PRIORITY = 1000  # ranks that the document can tell apart
-# Probes are paced by their period; their cost to a target is the brief's.
-_PROBE_COST_MS = 6
-_PROBE_BUDGET_MS = 60  # a second, far below what the platform allows
+_PROBE_COST_MS = 6  # milliseconds of a target's work, from the brief
+# A second: 50 probes, where the platform allows 60 on an average.
+_PROBE_BUDGET_MS = 300
 
 Milliseconds = Annotated[float, Meta(gt=0)]
 
--- a/bluebellsill/platform/targets.py
+++ b/bluebellsill/platform/targets.py
@@ -11,6 +11,7 @@
     COLD_LEFT,
     DEADLINE,
     EXPECTED_TARGET,
+    LOAD,
     NOT_RUN,
     REQUEST_ID,
     TARGET_NAME,
@@ -25,6 +26,8 @@
 __all__ = ('PlatformDialect',)
 
 _SECOND = 1000  # milliseconds
+_PERCENT = 100  # of the usual time
+_LOAD_FIGURES = 4  # running, waiting, slots, slowness
 
 
 class PlatformDialect:
@@ -62,3 +65,13 @@
             is_serving=response.status == HTTPStatus.OK,
             cold_seconds=int(cold_ms) / _SECOND if is_number else None,
         )
+
+    def slowness(self, response: Response) -> float | None:
+        """Return the fourth figure of the load, as a factor.
+
+        The others are the requests that run and wait, and the slots.
+        """
+        figures = response.header(LOAD).split(',')
+        if len(figures) != _LOAD_FIGURES or not figures[-1].isdecimal():
+            return None
+        return max(1, int(figures[-1])) / _PERCENT
--- a/bluebellsill/probing.py
+++ b/bluebellsill/probing.py
@@ -4,7 +4,7 @@
 
 __all__ = ('ProbeBudget',)
 
-_MAX_SAVED = 1.0  # probes
+_MAX_SAVED = 1.0  # seconds of savings, but one probe at least
 
 
 class ProbeBudget:
@@ -34,7 +34,7 @@
         """Return whether a probe is allowed now, and pay for it."""
         earned = (now - self._at) * self._rate
         self._at = now
-        self._saved = min(_MAX_SAVED, self._saved + earned)
+        self._saved = min(max(1, _MAX_SAVED * self._rate), self._saved + earned)
         if self._saved < 1:
             return False
         self._saved -= 1
--- a/bluebellsill/slot_gate.py
+++ b/bluebellsill/slot_gate.py
@@ -10,12 +10,14 @@
 from heapq import heapify, heapreplace
 
 from bluebellsill.admission import Decision, Ticket
+from bluebellsill.slowness import Slowness
 from bluebellsill.start_pace import StartPace
 from bluebellsill.work_times import WorkTimes
 
 __all__ = ('SlotGate',)
 
 _OVERRUN = 0.5  # of the usual time is left of work that takes longer
+_FIRST_WORK = 0.05  # seconds that unknown work is taken to need
 
 
 class SlotGate:
@@ -26,11 +28,16 @@
     waits for. Everything else is refused at once, while there is time to
     go elsewhere. Calls of running requests go first, because their parents
     hold slots; then comes importance, then the earliest target latency.
+
+    Work is not started in a moment in which it takes several times as long
+    if it ends sooner by waiting; ``wants_measure`` says when the target is
+    to be asked for its slowness.
     """
 
     def __init__(self) -> None:
         """Create the gate of a target that has not said anything."""
         self.pace = StartPace()
+        self.slowness = Slowness()
         self.slots = 1
         self._times = WorkTimes()
         self._running: set[Ticket] = set()
@@ -65,16 +72,19 @@
         """
         if now >= ticket.expires_at:
             return Decision.REFUSE, None
-        if not self._queue and self._may_start(now):
+        has_room = self.load < self.slots and not self.pace.wait(now)
+        if has_room and not self._queue and self._is_moment(ticket, now):
             self._start(ticket, now)
             return Decision.RUN, None
-        wait = self.expected_wait(ticket, now)
-        ticket.leaves_queue_at = self._latest_start(ticket)
-        if now + wait > ticket.leaves_queue_at:
-            ticket.retry_after = wait
+        is_asked = has_room and not self.slowness.is_fresh(now)
+        may_wait = ticket.may_wait and (
+            has_room or self._is_worth_a_wait(ticket, now)
+        )
+        if not is_asked and not may_wait:
+            ticket.retry_after = self.expected_wait(ticket, now)
             return Decision.REFUSE, None
+        ticket.leaves_queue_at = ticket.expires_at - self._work(ticket)
         self._queue.append(ticket)
-        self._queue.sort(key=_order)
         return Decision.WAIT, None
 
     def finish(self, ticket: Ticket) -> None:
@@ -93,18 +103,32 @@
         return True
 
     def admit(self, now: float) -> list[Ticket]:
-        """Start as many waiting calls as the target bears."""
+        """Start as many waiting calls as the target bears at the moment."""
         admitted: list[Ticket] = []
-        while self._queue and self._may_start(now):
-            ticket = self._queue.pop(0)
-            self._start(ticket, now)
-            admitted.append(ticket)
+        if not self.slowness.is_fresh(now):
+            return admitted
+        self._queue.sort(key=lambda ticket: self._order(ticket, now))
+        for ticket in tuple(self._queue):
+            if not self._may_start(now):
+                break
+            if self._is_moment(ticket, now):
+                self._queue.remove(ticket)
+                self._start(ticket, now)
+                admitted.append(ticket)
         return admitted
 
     def expire(self, now: float) -> list[Ticket]:
-        """Take out the calls that would be answered too late."""
+        """Take out the calls that cannot be answered any more.
+
+        A call that may not wait goes as soon as it is known that the
+        present moment does not suit it.
+        """
+        is_known = self.slowness.is_fresh(now) or not self._may_start(now)
         expired = [
-            ticket for ticket in self._queue if now >= ticket.leaves_queue_at
+            ticket
+            for ticket in self._queue
+            if now >= ticket.leaves_queue_at
+            or (is_known and not ticket.may_wait)
         ]
         for ticket in expired:
             self._queue.remove(ticket)
@@ -125,23 +149,35 @@
         """
         if not self._queue or len(self._running) >= self.slots:
             return None
-        return self.pace.wait(now)
+        return self.pace.wait(now) or None
+
+    def wants_measure(self, now: float) -> bool:
+        """Return whether a call could start if the slowness were known."""
+        has_use = bool(self._queue) and self._may_start(now)
+        return has_use and not self.slowness.is_fresh(now)
+
+    def on_slowness(self, factor: float, now: float) -> None:
+        """Take in how many times longer than usual work takes now."""
+        self.slowness.observe(factor, now)
 
     def expected_wait(self, ticket: Ticket, now: float) -> float:
         """Return the seconds until a call would get a slot."""
         free = [0.0 for _ in range(self.slots - len(self._running))]
         free += [self._left(one, now) for one in self._running]
         heapify(free)
-        mine = _order(ticket)
+        mine = self._order(ticket, now)
         for waiting in self._queue:
-            if _order(waiting) > mine:
-                break
-            heapreplace(free, free[0] + self._times.expected(waiting.route))
-        return max(free[0], self.pace.wait(now))
+            if waiting is not ticket and self._order(waiting, now) <= mine:
+                heapreplace(free, free[0] + self._work(waiting))
+        wait = max(free[0], self.pace.wait(now))
+        if self.slowness.gains_by_waiting(self._work(ticket)):
+            wait = max(wait, self.slowness.spell)
+        return wait
 
     def on_answer(self, ticket: Ticket, now: float) -> None:
         """Take in a whole answer."""
-        self._times.observe(ticket.route, now - ticket.started_at)
+        seconds = (now - ticket.started_at) / ticket.slowness
+        self._times.observe(ticket.route, seconds)
 
     def on_shed(self) -> None:
         """Do nothing: the target's slots are what it says they are."""
@@ -163,27 +199,46 @@
         """Set how many requests the target runs at a time."""
         self.slots = max(1, slots)
 
+    def _is_worth_a_wait(self, ticket: Ticket, now: float) -> bool:
+        ends_at = now + self.expected_wait(ticket, now) + self._work(ticket)
+        if ticket.is_inner or not ticket.wanted_at:
+            return ends_at <= ticket.expires_at
+        return ends_at <= min(ticket.wanted_at, ticket.expires_at)
+
+    def _is_moment(self, ticket: Ticket, now: float) -> bool:
+        """Return whether a call is best started now rather than later."""
+        slowness = self.slowness
+        if not slowness.is_fresh(now):
+            return False
+        work = self._work(ticket)
+        if not slowness.gains_by_waiting(work):
+            return True
+        is_last_chance = now + work * slowness.factor >= ticket.expires_at
+        return is_last_chance and ticket.may_wait
+
     def _may_start(self, now: float) -> bool:
         has_slot = len(self._running) < self.slots
         return has_slot and not self.pace.wait(now)
 
-    def _latest_start(self, ticket: Ticket) -> float:
-        usual = self._times.expected(ticket.route)
-        if ticket.is_inner or not ticket.wanted_at:
-            return ticket.expires_at - usual
-        return min(ticket.wanted_at, ticket.expires_at) - usual
+    def _work(self, ticket: Ticket) -> float:
+        return self._times.expected(ticket.route) or _FIRST_WORK
 
     def _left(self, ticket: Ticket, now: float) -> float:
-        usual = self._times.expected(ticket.route)
+        usual = self._work(ticket) * ticket.slowness
         left = ticket.started_at + usual - now
         return left if left > 0 else usual * _OVERRUN
 
     def _start(self, ticket: Ticket, now: float) -> None:
         ticket.started_at = now
+        ticket.slowness = self.slowness.factor
         self.pace.on_start(now)
         self._running.add(ticket)
 
-
-def _order(ticket: Ticket) -> tuple[bool, int, float]:
-    wanted_at = ticket.wanted_at or ticket.expires_at
-    return not ticket.is_inner, -ticket.priority, wanted_at
+    def _order(
+        self,
+        ticket: Ticket,
+        now: float,
+    ) -> tuple[bool, bool, int, float]:
+        wanted_at = ticket.wanted_at or ticket.expires_at
+        is_late = now + self._work(ticket) > wanted_at
+        return not ticket.is_inner, is_late, -ticket.priority, wanted_at
--- a/bluebellsill/target_dialect.py
+++ b/bluebellsill/target_dialect.py
@@ -57,6 +57,12 @@
     def health(self, response: Response) -> TargetHealth:
         """Return what the answer to a probe tells."""
 
+    def slowness(self, response: Response) -> float | None:
+        """Return how many times longer than usual work takes now.
+
+        None where an answer does not say.
+        """
+
 
 class OwnDialect:
     """The headers of docs/INTERFACES.md."""
@@ -84,3 +90,6 @@
     def health(self, response: Response) -> TargetHealth:
         """Return that the target serves; its health reports may lie."""
         return TargetHealth('', is_serving=True)
+
+    def slowness(self, response: Response) -> None:
+        """Return None: targets do not say."""
--- a/bluebellsill/target_runner.py
+++ b/bluebellsill/target_runner.py
@@ -14,6 +14,7 @@
 from bluebellsill.logs import get_logger
 from bluebellsill.messages import Answer, Call, Failure, Refusal
 from bluebellsill.resources import Service
+from bluebellsill.slowness import USUAL
 from bluebellsill.target_dialect import OwnDialect, TargetDialect
 from bluebellsill.target_watch import (
     OWN_WATCH_RULES,
@@ -32,6 +33,10 @@
 
 __all__ = ('Run', 'TargetOwner', 'TargetRunner')
 
+# Seconds for which a start waits for the target's word on its slowness; a
+# target on the same VM answers in a fifth of a millisecond.
+_MEASURE_WAIT = 0.01
+
 
 class TargetOwner(Protocol):
     """What the runner asks of the node that it is part of."""
@@ -112,6 +117,9 @@
         self._log = get_logger('runner')
         self._runs_by_ticket: dict[Ticket, Run] = {}
         self._start_timer: Timer | None = None
+        self._measure_timer: Timer | None = None
+        self._is_measuring = False
+        self._slowness = USUAL
 
     @property
     def announcement(self) -> Announcement | None:
@@ -159,6 +167,11 @@
         self.gate.set_cold(cold_until, self._watch.service.cold_per_s)
         self._admit()
 
+    def on_probed(self, response: Response) -> None:
+        """Take in what a probe's answer tells of the target's slowness."""
+        self._observe(response)
+        self._on_measured()
+
     def on_target_changed(self) -> None:
         """Pass the news on."""
         self._owner.on_target_changed()
@@ -203,6 +216,7 @@
             wait = ticket.leaves_queue_at - now
             self._reactor.timers.after(wait, self._expire_queue)
             self._wake_for_start(now)
+            self._measure()
         return run
 
     def cancel(self, run: Run) -> None:
@@ -294,6 +308,7 @@
             self.gate.limit,
             int(retry_after * 1000),
             has_arrived,
+            self._slowness,
         )
 
     def _respond_refused(self, ticket: Ticket, kind: ErrorKind) -> None:
@@ -337,6 +352,7 @@
     def _on_answered(self, run: Run, response: Response) -> None:
         call = run.call
         self._watch.on_answer()
+        self._observe(response)
         rejection = self._dialect.rejection(response)
         if rejection is not None:
             if rejection is not ErrorKind.OVERLOADED:
@@ -362,6 +378,7 @@
                 self.gate.load - 1,
                 self.gate.limit,
                 has_failed_below,
+                self._slowness,
             ),
         )
 
@@ -402,7 +419,39 @@
         now = self._clock.now()
         for admitted in self.gate.admit(now):
             self._dispatch(self._runs_by_ticket[admitted])
+        self._expire_queue()
         self._wake_for_start(now)
+        self._measure()
+
+    def _observe(self, response: Response) -> None:
+        factor = self._dialect.slowness(response)
+        if factor is not None:
+            self._slowness = factor
+            self.gate.on_slowness(factor, self._clock.now())
+
+    def _measure(self) -> None:
+        """Ask the target for its slowness, if a start hangs on it."""
+        if self._is_measuring or not self.gate.wants_measure(
+            self._clock.now(),
+        ):
+            return
+        self._is_measuring = True
+        wait = self._reactor.timers.after(_MEASURE_WAIT, self._on_measured)
+        self._measure_timer = wait
+        if not self._watch.measure():
+            self._on_measured()
+
+    def _on_measured(self) -> None:
+        """Go on, with a guess if the target did not answer at once."""
+        if not self._is_measuring:
+            return
+        self._is_measuring = False
+        if self._measure_timer is not None:
+            self._measure_timer.cancel()
+        now = self._clock.now()
+        if self.gate.wants_measure(now):
+            self.gate.on_slowness(USUAL, now)
+        self._admit()
 
     def _wake_for_start(self, now: float) -> None:
         wait = self.gate.next_start(now)
@@ -423,4 +472,5 @@
         ticket.wanted_at = now + call.target_latency_ms / 1000
     ticket.route = call.route
     ticket.is_inner = call.is_inner
+    ticket.may_wait = call.may_wait
     return ticket
--- a/bluebellsill/target_view.py
+++ b/bluebellsill/target_view.py
@@ -11,6 +11,7 @@
 _FADE_LIFETIME = 2.0  # seconds in which an unconfirmed latency fades
 _LATENCY_WEIGHT = 0.1  # of a new latency in the average
 _OTHERS_WEIGHT = 0.1  # of a new report in the average
+_SPELL = 0.15  # seconds in which a report of slowness fades
 _OVERDUE = 3  # usual latencies from which a call counts as overdue
 _FIRST_LATENCY = 0.01  # seconds
 _FIRST_PENALTY = 0.1  # seconds
@@ -33,6 +34,9 @@
         latency_at: When the latency was last observed.
         failures: Failures in a row.
         avoided_until: Until when the target is a last resort.
+        slowness: How many times longer than usual work took there.
+        slowness_at: When that was reported.
+        usual_slowness: A moving average of it.
     """
 
     id: str
@@ -46,14 +50,13 @@
     latency_at: float = 0
     failures: int = 0
     avoided_until: float = 0
+    slowness: float = 1
+    slowness_at: float = 0
+    usual_slowness: float = 1
 
     def cost(self, now: float) -> float:
         """Return the expected time of one more call, in seconds."""
-        own = len(self.started)
-        # Calls of others come and go within about one latency.
-        age = max(0, now - self.reported_at)
-        kept = exp(-age / max(self.latency, _FIRST_LATENCY))
-        others = self.others + (self.reported - self.others) * kept
+        load = self.expected_load(now)
         # Old observations fade, so that a target that was slow is tried again.
         faded = exp(-max(0, now - self.latency_at) / _FADE_LIFETIME)
         latency = _FIRST_LATENCY + (self.latency - _FIRST_LATENCY) * faded
@@ -62,7 +65,7 @@
             if oldest > _OVERDUE * latency:
                 # A call that is still out takes at least this long.
                 latency = oldest
-        return latency * (own + others + 1) / self.limit
+        return latency * (load + 1) / self.limit
 
     def on_report(self, load: int, limit: int, now: float) -> None:
         """Take in the load that came with an answer or a refusal."""
@@ -71,6 +74,27 @@
         self.limit = max(1, limit)
         self.reported_at = now
 
+    def on_slowness(self, factor: float, now: float) -> None:
+        """Take in how much longer than usual work takes at the target."""
+        self.slowness = factor
+        self.slowness_at = now
+        self.usual_slowness += _OTHERS_WEIGHT * (factor - self.usual_slowness)
+
+    def expected_slowness(self, now: float) -> float:
+        """Return the slowness at a time; reports fade toward the usual."""
+        kept = exp(-max(0, now - self.slowness_at) / _SPELL)
+        return self.usual_slowness + kept * (
+            self.slowness - self.usual_slowness
+        )
+
+    def expected_load(self, now: float) -> float:
+        """Return the calls that run or wait there, this node's included."""
+        # Calls of others come and go within about one latency.
+        age = max(0, now - self.reported_at)
+        kept = exp(-age / max(self.latency, _FIRST_LATENCY))
+        others = self.others + (self.reported - self.others) * kept
+        return len(self.started) + others
+
     def on_latency(self, seconds: float, now: float) -> None:
         """Take in the latency of an answer."""
         self.failures = 0
--- a/bluebellsill/target_watch.py
+++ b/bluebellsill/target_watch.py
@@ -97,6 +97,9 @@
     def on_target_temperature(self, cold_until: float) -> None:
         """The target has said how long it stays cold."""
 
+    def on_probed(self, response: Response) -> None:
+        """The target has answered a probe."""
+
     def on_target_changed(self) -> None:
         """The target has come, is leaving or has gone."""
 
@@ -175,6 +178,11 @@
         self._set_cold(_UNKNOWN_COLD)
         self._probe()
 
+    def measure(self) -> bool:
+        """Ask the target how it is; return whether it is being asked."""
+        self._probe()
+        return self._is_probing
+
     def on_answer(self) -> None:
         """The target has answered a request."""
         self._answered_at = self._clock.now()
@@ -288,6 +296,7 @@
             # Health reports may lie: they never raise the limit.
             self._failed_probes = 0
             self._on_health(self._dialect.health(done.ok_value))
+            self._owner.on_probed(done.ok_value)
             return
         self._failed_probes += 1
         if self._rules.probes_busy and self._has_answered_lately():
--- a/tests/played.py
+++ b/tests/played.py
@@ -15,9 +15,14 @@
     ('correlation', 'fingerprint', 'headers', 'body', 'holders', 'route'),
 )
 # Fields that few messages use; they are shown where they say something.
-_OPTIONAL = frozenset(
-    ('has_arrived', 'is_inner', 'retry_ms', 'target_latency_ms'),
-)
+_DEFAULTS_BY_FIELD: dict[str, Any] = {
+    'has_arrived': False,
+    'is_inner': False,
+    'may_wait': True,
+    'retry_ms': 0,
+    'slowness': 1,
+    'target_latency_ms': 0,
+}
 
 
 class PlayedStream:
@@ -97,6 +102,6 @@
         f'{name}={text!r}'.replace(r'\x00', '/')
         for name, text in fields.items()
         if name not in _HIDDEN and text != ''
-        if text or name not in _OPTIONAL
+        if name not in _DEFAULTS_BY_FIELD or text != _DEFAULTS_BY_FIELD[name]
     ]
     return f'{type(message).__name__}({", ".join(texts)})'
