Learn from how many requests at a time on a target slows down

Ruled out: that running work is slowed by later starts (levels 1 to 4 stay at their time while 5 and 6 are in use); the targets' own queue (never used).

Change: the gate learns the ratio of each level against roomy starts and uses the level with the most answers a second, once 40 answers speak for it.

--- a/bluebellsill/admission.py
+++ b/bluebellsill/admission.py
@@ -37,6 +37,7 @@
         may_wait: Whether the call may wait here; one that may not is tried
             elsewhere first.
         slowness: How many times longer than usual work took at the start.
+        level: The calls that ran at the start, this one included.
         retry_after: Seconds after which a refused call may find a slot.
     """
 
@@ -49,6 +50,7 @@
     is_inner: bool = False
     may_wait: bool = True
     slowness: float = 1
+    level: int = 1
     retry_after: float = 0
 
 
--- a/bluebellsill/slot_gate.py
+++ b/bluebellsill/slot_gate.py
@@ -10,6 +10,7 @@
 from heapq import heapify, heapreplace
 
 from bluebellsill.admission import Decision, Ticket
+from bluebellsill.crowding import Crowding
 from bluebellsill.slowness import Slowness
 from bluebellsill.start_pace import StartPace
 from bluebellsill.work_times import WorkTimes
@@ -38,7 +39,7 @@
         """Create the gate of a target that has not said anything."""
         self.pace = StartPace()
         self.slowness = Slowness()
-        self.slots = 1
+        self._crowding = Crowding(1)
         self._times = WorkTimes()
         self._running: set[Ticket] = set()
         self._queue: list[Ticket] = []
@@ -56,7 +57,7 @@
     @property
     def limit(self) -> int:
         """The number of calls that may run."""
-        return self.slots
+        return self._crowding.best_level
 
     def offer(
         self, ticket: Ticket, now: float
@@ -72,7 +73,7 @@
         """
         if now >= ticket.expires_at:
             return Decision.REFUSE, None
-        has_room = self.load < self.slots and not self.pace.wait(now)
+        has_room = self.load < self.limit and not self.pace.wait(now)
         if has_room and not self._queue and self._is_moment(ticket, now):
             self._start(ticket, now)
             return Decision.RUN, None
@@ -147,7 +148,7 @@
         Returns:
             None if nothing waits, or only for a slot.
         """
-        if not self._queue or len(self._running) >= self.slots:
+        if not self._queue or len(self._running) >= self.limit:
             return None
         return self.pace.wait(now) or None
 
@@ -162,7 +163,7 @@
 
     def expected_wait(self, ticket: Ticket, now: float) -> float:
         """Return the seconds until a call would get a slot."""
-        free = [0.0 for _ in range(self.slots - len(self._running))]
+        free = [0.0 for _ in range(self.limit - len(self._running))]
         free += [self._left(one, now) for one in self._running]
         heapify(free)
         mine = self._order(ticket, now)
@@ -177,7 +178,11 @@
     def on_answer(self, ticket: Ticket, now: float) -> None:
         """Take in a whole answer."""
         seconds = (now - ticket.started_at) / ticket.slowness
-        self._times.observe(ticket.route, seconds)
+        usual = self._times.expected(ticket.route)
+        if not usual or self._crowding.is_roomy(ticket.level):
+            self._times.observe(ticket.route, seconds)
+        else:
+            self._crowding.observe(ticket.level, seconds / usual)
 
     def on_shed(self) -> None:
         """Do nothing: the target's slots are what it says they are."""
@@ -197,7 +202,8 @@
 
     def resize(self, slots: int) -> None:
         """Set how many requests the target runs at a time."""
-        self.slots = max(1, slots)
+        if slots != self._crowding.slots:
+            self._crowding = Crowding(max(1, slots))
 
     def _is_worth_a_wait(self, ticket: Ticket, now: float) -> bool:
         ends_at = now + self.expected_wait(ticket, now) + self._work(ticket)
@@ -217,7 +223,7 @@
         return is_last_chance and ticket.may_wait
 
     def _may_start(self, now: float) -> bool:
-        has_slot = len(self._running) < self.slots
+        has_slot = len(self._running) < self.limit
         return has_slot and not self.pace.wait(now)
 
     def _work(self, ticket: Ticket) -> float:
@@ -233,6 +239,7 @@
         ticket.slowness = self.slowness.factor
         self.pace.on_start(now)
         self._running.add(ticket)
+        ticket.level = len(self._running)
 
     def _order(
         self,
