Keep work from a target that fails everything, and tell how much fails

Ruled out: failures of calls below (payments and bookings answered 95% well).

Change: a breaker at the target's node: six failures in a row open it, trials at growing pauses close it; the share of failures goes out with each answer and counts in the choice of targets. What asks a target for its slowness is a part of its own (Measuring). Stand-ins and load tool moved to folders of their own.

--- a/bluebellsill/calls.py
+++ b/bluebellsill/calls.py
@@ -143,6 +143,7 @@
                     has_arrived=reply.has_arrived,
                     retry_after=reply.retry_ms / 1000,
                     slowness=reply.slowness,
+                    failing=reply.failing,
                 ),
             )
         elif isinstance(reply, Failure):
@@ -169,6 +170,7 @@
             answer.limit,
             has_failed_below=answer.has_failed_below,
             slowness=answer.slowness,
+            failing=answer.failing,
         )
         if again is not None:
             self._act(again)
--- a/bluebellsill/choice.py
+++ b/bluebellsill/choice.py
@@ -27,6 +27,7 @@
 # In units of one usual answer:
 _FAR = 0.3  # what bytes between zones and the way there are worth
 _LOAD_WEIGHT = 0.4  # of a full target against an empty one
+_FAILING_WEIGHT = 4  # of a target that fails everything; a spell is as bad
 
 
 @unique
@@ -148,6 +149,7 @@
             + rounds
             + distance
             + _LOAD_WEIGHT * load / view.limit
+            + _FAILING_WEIGHT * view.expected_failing(now)
         )
 
 
--- a/bluebellsill/dispatch.py
+++ b/bluebellsill/dispatch.py
@@ -106,6 +106,7 @@
         *,
         has_failed_below: bool = False,
         slowness: float = 1,
+        failing: float = 0,
     ) -> Place | None:
         """Take in a whole answer and the load at the target's node.
 
@@ -117,6 +118,7 @@
                 failed. It was tried again there, so that a fault at the
                 end of a chain is not multiplied at each step.
             slowness: How many times longer than usual work takes there.
+            failing: The share of its answers that failed of late.
 
         Returns:
             Where to try again, or None to pass the answer on.
@@ -126,7 +128,7 @@
         self._sends += 1
         if view is not None:
             view.on_report(load, limit, now)
-            view.on_slowness(slowness, now)
+            view.on_state(slowness, failing, now)
             if status < HTTPStatus.INTERNAL_SERVER_ERROR:
                 view.on_latency(now - self._sent_at, now)
             elif not has_failed_below:
@@ -151,6 +153,7 @@
         has_arrived: bool = False,
         retry_after: float = 0,
         slowness: float = 1,
+        failing: float = 0,
     ) -> Place | Problem:
         """Take in a refusal: the target did not run the call.
 
@@ -162,6 +165,7 @@
                 not the node beside it.
             retry_after: Seconds until a slot is free there, 0 if unknown.
             slowness: How many times longer than usual work takes there.
+            failing: The share of its answers that failed of late.
         """
         view = self._end_try()
         now = self._clock.now()
@@ -174,7 +178,7 @@
             self._waits_by_node[view.id] = retry_after
         if view is not None:
             view.on_report(max(load, limit), limit, now)
-            view.on_slowness(slowness, now)
+            view.on_state(slowness, failing, now)
             if kind is not ErrorKind.OVERLOADED:
                 view.on_failure(now)
             elif has_arrived:
--- a/bluebellsill/errors.py
+++ b/bluebellsill/errors.py
@@ -43,6 +43,7 @@
     ZONE_OUT = 'zone_out'
     TARGET_OUT = 'target_out'
     LEAVING = 'leaving'
+    TARGET_FAILING = 'target_failing'
     STALE = 'stale'
     EXPIRED = 'expired'
     QUARANTINED = 'quarantined'
@@ -103,6 +104,7 @@
     ErrorKind.ZONE_OUT: _ELSEWHERE,
     ErrorKind.TARGET_OUT: _ELSEWHERE,
     ErrorKind.LEAVING: _ELSEWHERE,
+    ErrorKind.TARGET_FAILING: _ELSEWHERE,
     ErrorKind.STALE: _ELSEWHERE,
     ErrorKind.EXPIRED: ErrorAnswer(HTTPStatus.GATEWAY_TIMEOUT),
     ErrorKind.QUARANTINED: ErrorAnswer(
--- /dev/null
+++ b/bluebellsill/load/__init__.py
@@ -0,0 +1,1 @@
+"""Plays callers, for experiments and the demo."""
--- a/bluebellsill/load_command.py
+++ b/bluebellsill/load/command.py
@@ -12,7 +12,7 @@
 from result import Err
 
 from bluebellsill import __version__
-from bluebellsill.load import Load, LoadPlan
+from bluebellsill.load.player import Load, LoadPlan
 from bluebellsill.settings import load_toml
 
 __all__ = ('main',)
--- a/bluebellsill/messages.py
+++ b/bluebellsill/messages.py
@@ -122,6 +122,7 @@
         has_failed_below: Whether the target failed because a service that
             it called failed, which has been tried again there.
         slowness: How many times longer than usual work takes there.
+        failing: The share of the target's answers that failed of late.
     """
 
     id: int
@@ -132,6 +133,7 @@
     limit: int
     has_failed_below: bool = False
     slowness: float = 1
+    failing: float = 0
 
 
 class Refusal(WireMessage, frozen=True, tag=6):
@@ -146,6 +148,7 @@
         has_arrived: Whether the target itself refused the call, and not
             the node beside it.
         slowness: How many times longer than usual work takes there.
+        failing: The share of the target's answers that failed of late.
     """
 
     id: int
@@ -155,6 +158,7 @@
     retry_ms: int = 0
     has_arrived: bool = False
     slowness: float = 1
+    failing: float = 0
 
 
 class Failure(WireMessage, frozen=True, tag=7):
--- a/bluebellsill/standin_command.py
+++ b/bluebellsill/standins/command.py
@@ -12,9 +12,9 @@
 
 from bluebellsill import __version__
 from bluebellsill._signals import take_signals
-from bluebellsill.standin_behaviour import Behaviour
-from bluebellsill.standin_store import StandInStore
-from bluebellsill.standin_target import StandInTarget
+from bluebellsill.standins.behaviour import Behaviour
+from bluebellsill.standins.store import StandInStore
+from bluebellsill.standins.target import StandInTarget
 from bluebellsill.streams import Address
 
 if TYPE_CHECKING:
--- a/bluebellsill/standin_target.py
+++ b/bluebellsill/standins/target.py
@@ -24,8 +24,8 @@
 from bluebellsill.http_client import HttpPool
 from bluebellsill.http_server import HttpServer, Reply
 from bluebellsill.reactor import Reactor
-from bluebellsill.standin_behaviour import Behaviour
-from bluebellsill.standin_chain import onward_request
+from bluebellsill.standins.behaviour import Behaviour
+from bluebellsill.standins.chain import onward_request
 from bluebellsill.streams import Address
 from bluebellsill.target_watch import Announcement
 from bluebellsill.timers import TimerService
--- a/bluebellsill/target_runner.py
+++ b/bluebellsill/target_runner.py
@@ -8,13 +8,14 @@
 from result import Err, Result
 
 from bluebellsill.admission import Admission, Decision, Gate, Ticket
+from bluebellsill.breaker import Breaker
 from bluebellsill.errors import ErrorKind
 from bluebellsill.http import Request, Response, end_to_end
 from bluebellsill.http_client import Exchange, HttpFailure
 from bluebellsill.logs import get_logger
+from bluebellsill.measuring import Measuring
 from bluebellsill.messages import Answer, Call, Failure, Refusal
 from bluebellsill.resources import Service
-from bluebellsill.slowness import USUAL
 from bluebellsill.target_dialect import OwnDialect, TargetDialect
 from bluebellsill.target_watch import (
     OWN_WATCH_RULES,
@@ -33,9 +34,10 @@
 
 __all__ = ('Run', 'TargetOwner', 'TargetRunner')
 
-# Seconds for which a start waits for the target's word on its slowness; a
-# target on the same VM answers in a fifth of a millisecond.
-_MEASURE_WAIT = 0.01
+# The request's time was too short, or there was too much of a load.
+_NO_FAULT = frozenset(
+    (HTTPStatus.GATEWAY_TIMEOUT, HTTPStatus.SERVICE_UNAVAILABLE),
+)
 
 
 class TargetOwner(Protocol):
@@ -117,9 +119,13 @@
         self._log = get_logger('runner')
         self._runs_by_ticket: dict[Ticket, Run] = {}
         self._start_timer: Timer | None = None
-        self._measure_timer: Timer | None = None
-        self._is_measuring = False
-        self._slowness = USUAL
+        self._breaker = Breaker()
+        self._measuring = Measuring(
+            reactor.timers,
+            self.gate,
+            self._watch.measure,
+            self._admit,
+        )
 
     @property
     def announcement(self) -> Announcement | None:
@@ -161,6 +167,7 @@
     def on_target_cold(self) -> None:
         """Start to ramp up again."""
         self.gate.on_cold()
+        self._breaker.reset()
 
     def on_target_temperature(self, cold_until: float) -> None:
         """Bound the starts while the target is cold."""
@@ -169,8 +176,8 @@
 
     def on_probed(self, response: Response) -> None:
         """Take in what a probe's answer tells of the target's slowness."""
-        self._observe(response)
-        self._on_measured()
+        self._measuring.observe(self._dialect.slowness(response))
+        self._measuring.end()
 
     def on_target_changed(self) -> None:
         """Pass the news on."""
@@ -216,7 +223,7 @@
             wait = ticket.leaves_queue_at - now
             self._reactor.timers.after(wait, self._expire_queue)
             self._wake_for_start(now)
-            self._measure()
+            self._measuring.start()
         return run
 
     def cancel(self, run: Run) -> None:
@@ -279,7 +286,10 @@
             return ErrorKind.QUARANTINED
         if call.budget_ms <= 0:
             return ErrorKind.EXPIRED
-        return self._owner.refusal()
+        kind = self._owner.refusal()
+        if kind is None and not self._breaker.lets_through(now):
+            return ErrorKind.TARGET_FAILING
+        return kind
 
     def _refuse(
         self,
@@ -308,7 +318,8 @@
             self.gate.limit,
             int(retry_after * 1000),
             has_arrived,
-            self._slowness,
+            self._measuring.slowness,
+            self._breaker.share(self._clock.now()),
         )
 
     def _respond_refused(self, ticket: Ticket, kind: ErrorKind) -> None:
@@ -352,7 +363,7 @@
     def _on_answered(self, run: Run, response: Response) -> None:
         call = run.call
         self._watch.on_answer()
-        self._observe(response)
+        self._measuring.observe(self._dialect.slowness(response))
         rejection = self._dialect.rejection(response)
         if rejection is not None:
             if rejection is not ErrorKind.OVERLOADED:
@@ -361,8 +372,11 @@
             return
         is_error = response.status >= HTTPStatus.INTERNAL_SERVER_ERROR
         has_failed_below = run.has_failed_below and is_error
+        now = self._clock.now()
+        if not has_failed_below and response.status not in _NO_FAULT:
+            self._note_outcome(is_failure=is_error)
         if not is_error:
-            self.gate.on_answer(run.ticket, self._clock.now())
+            self.gate.on_answer(run.ticket, now)
         elif response.status == HTTPStatus.SERVICE_UNAVAILABLE:
             # What a service below sheds says nothing of this target.
             if not has_failed_below:
@@ -378,7 +392,8 @@
                 self.gate.load - 1,
                 self.gate.limit,
                 has_failed_below,
-                self._slowness,
+                self._measuring.slowness,
+                self._breaker.share(now),
             ),
         )
 
@@ -393,6 +408,7 @@
             self._watch.check_soon()
             run.respond(self._refuse(call, ErrorKind.NO_TARGET))
             return
+        self._note_outcome(is_failure=True)
         running = [one.call.fingerprint for one in self._running_with(run)]
         self.gate.on_shed()
         # The answer waits until the other nodes have been told of a crash.
@@ -421,39 +437,10 @@
             self._dispatch(self._runs_by_ticket[admitted])
         self._expire_queue()
         self._wake_for_start(now)
-        self._measure()
-
-    def _observe(self, response: Response) -> None:
-        factor = self._dialect.slowness(response)
-        if factor is not None:
-            self._slowness = factor
-            self.gate.on_slowness(factor, self._clock.now())
-
-    def _measure(self) -> None:
-        """Ask the target for its slowness, if a start hangs on it."""
-        if self._is_measuring or not self.gate.wants_measure(
-            self._clock.now(),
-        ):
-            return
-        self._is_measuring = True
-        wait = self._reactor.timers.after(_MEASURE_WAIT, self._on_measured)
-        self._measure_timer = wait
-        if not self._watch.measure():
-            self._on_measured()
-
-    def _on_measured(self) -> None:
-        """Go on, with a guess if the target did not answer at once."""
-        if not self._is_measuring:
-            return
-        self._is_measuring = False
-        if self._measure_timer is not None:
-            self._measure_timer.cancel()
-        now = self._clock.now()
-        if self.gate.wants_measure(now):
-            self.gate.on_slowness(USUAL, now)
-        self._admit()
+        self._measuring.start()
 
     def _wake_for_start(self, now: float) -> None:
+        """Look again once a cold target may be given a waiting call."""
         wait = self.gate.next_start(now)
         if wait is None:
             return
@@ -461,6 +448,19 @@
             self._start_timer.cancel()
         self._start_timer = self._reactor.timers.after(wait, self._admit)
 
+    def _note_outcome(self, *, is_failure: bool) -> None:
+        was_open = self._breaker.is_open
+        now = self._clock.now()
+        if is_failure:
+            self._breaker.on_failure(now)
+        else:
+            self._breaker.on_success(now)
+        if self._breaker.is_open != was_open:
+            self._log.warning(
+                'breaker opened' if not was_open else 'breaker closed',
+                failing=round(self._breaker.share(now), 2),
+            )
+
     def _expire_queue(self) -> None:
         for ticket in self.gate.expire(self._clock.now()):
             self._respond_refused(ticket, ErrorKind.OVERLOADED)
--- a/bluebellsill/target_view.py
+++ b/bluebellsill/target_view.py
@@ -37,6 +37,7 @@
         slowness: How many times longer than usual work took there.
         slowness_at: When that was reported.
         usual_slowness: A moving average of it.
+        failing: The share of its answers that failed of late.
     """
 
     id: str
@@ -53,6 +54,7 @@
     slowness: float = 1
     slowness_at: float = 0
     usual_slowness: float = 1
+    failing: float = 0
 
     def cost(self, now: float) -> float:
         """Return the expected time of one more call, in seconds."""
@@ -74,8 +76,15 @@
         self.limit = max(1, limit)
         self.reported_at = now
 
-    def on_slowness(self, factor: float, now: float) -> None:
-        """Take in how much longer than usual work takes at the target."""
+    def on_state(self, factor: float, failing: float, now: float) -> None:
+        """Take in how the target is.
+
+        Args:
+            factor: How many times longer than usual work takes there.
+            failing: The share of its answers that failed of late.
+            now: The time in seconds.
+        """
+        self.failing = failing
         self.slowness = factor
         self.slowness_at = now
         self.usual_slowness += _OTHERS_WEIGHT * (factor - self.usual_slowness)
@@ -87,6 +96,12 @@
             self.slowness - self.usual_slowness
         )
 
+    def expected_failing(self, now: float) -> float:
+        """Return the share that fails; old reports fade, to look again."""
+        return self.failing * exp(
+            -max(0, now - self.slowness_at) / _FADE_LIFETIME
+        )
+
     def expected_load(self, now: float) -> float:
         """Return the calls that run or wait there, this node's included."""
         # Calls of others come and go within about one latency.
--- a/demo/experiment.py
+++ b/demo/experiment.py
@@ -19,7 +19,7 @@
 import msgspec
 
 from bluebellsill.choice import ChoiceName
-from bluebellsill.load import Stream
+from bluebellsill.load.player import Stream
 from demo.harness import Deployment, deployment, finish_load, wait_until
 
 if TYPE_CHECKING:
--- /dev/null
+++ b/tests/test_breaker.py
@@ -0,0 +1,52 @@
+"""A target that fails everything gets trials only."""
+
+from __future__ import annotations
+
+from bluebellsill.breaker import Breaker
+
+
+def _fail(breaker: Breaker, times: int, now: float = 1) -> None:
+    for _ in range(times):
+        breaker.on_failure(now)
+
+
+def test_opens_after_failures_in_a_row() -> None:
+    breaker = Breaker()
+    _fail(breaker, 5)
+    assert breaker.lets_through(1)
+    _fail(breaker, 1)
+    assert breaker.is_open
+    assert not breaker.lets_through(1.2)
+
+
+def test_success_between_keeps_it_closed_but_tells_the_share() -> None:
+    breaker = Breaker()
+    for _ in range(20):
+        _fail(breaker, 2)
+        breaker.on_success(1)
+    assert not breaker.is_open
+    assert 0.5 < breaker.share(1) < 0.8
+    assert breaker.share(8) < 0.1
+
+
+def test_trials_become_rare_and_a_success_closes() -> None:
+    breaker = Breaker()
+    _fail(breaker, 6, 0)
+    passed = 0
+    for step in range(1000):
+        now = step / 100
+        if breaker.lets_through(now):
+            passed += 1
+            breaker.on_failure(now)
+    assert 3 <= passed <= 8
+    breaker.on_success(10)
+    assert not breaker.is_open
+    assert breaker.lets_through(10)
+
+
+def test_a_new_start_is_trusted() -> None:
+    breaker = Breaker()
+    _fail(breaker, 9)
+    breaker.reset()
+    assert breaker.lets_through(1)
+    assert breaker.share(1) == 0
--- /dev/null
+++ b/tests/test_route_table.py
@@ -0,0 +1,59 @@
+"""Requests find the longest prefix of their host; weights are exact."""
+
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+
+import pytest
+
+from bluebellsill.route import Part, Route
+from bluebellsill.route_table import RouteTable
+from bluebellsill.weights import WeightedTurns
+
+_TABLE = RouteTable(
+    [
+        ('a.example', '/', Route('root')),
+        ('a.example', '/shop/', Route('shop')),
+        ('a.example', '/shop/pay/', Route('pay')),
+        ('b.example', '/shop/', Route('other')),
+    ]
+)
+
+
+@pytest.mark.parametrize(
+    ('host', 'path', 'name'),
+    [
+        ('a.example', '/shop/pay/1', 'pay'),
+        ('a.example', '/shop/pay/', 'pay'),
+        ('a.example', '/shop/pay', 'shop'),
+        ('a.example', '/shop/payments/1', 'shop'),
+        ('a.example', '/shop/x?to=/shop/pay/', 'shop'),
+        ('A.Example:8080', '/shop/x', 'shop'),
+        ('a.example', '/other', 'root'),
+        ('b.example', '/shop/pay/1', 'other'),
+        ('b.example', '/other', None),
+        ('c.example', '/shop/', None),
+        ('', '', None),
+    ],
+)
+def test_longest_prefix_wins(host: str, path: str, name: str | None) -> None:
+    route = _TABLE.match(host, path)
+    assert (route and route.name) == name
+
+
+def test_weights_hold_over_any_run_of_requests() -> None:
+    route = Route('r', (Part('a', 90), Part('b', 10)))
+    turns = WeightedTurns(Random(3))
+    chosen = [turns.next(route) for _ in range(500)]
+    for start in range(0, 400, 7):
+        assert Counter(chosen[start : start + 100])['b'] == 10
+
+
+def test_many_nodes_with_few_requests_keep_the_weights() -> None:
+    route = Route('r', (Part('a', 90), Part('b', 10)))
+    counts: Counter[str] = Counter()
+    for seed in range(200):
+        turns = WeightedTurns(Random(seed))
+        counts.update(turns.next(route) for _ in range(3))
+    assert abs(counts['b'] / 600 - 0.1) < 0.05
