Tell calls of targets by their parent's id; shed what is late while others wait

Cause: callers and the target reach a node from one address, so every request was taken for a call of a running one; it went first whatever its importance and waited past its target latency (headers in a scratch trial).

Ruled out: deadlines as a sign (callers give 85 to 100% of one figure).

Change: a call is a target's own if its id extends the id of a request that the target works on. The wait counts the slots that lie idle in slow spells. A request that has become late leaves while others wait for its slot.

--- a/bluebellsill/calls.py
+++ b/bluebellsill/calls.py
@@ -20,6 +20,8 @@
 
 __all__ = ('PlacedCall',)
 
+# Of the target latency; the rest is the way from and to the caller.
+_USABLE_SHARE = 0.93
 _REPLY_MARGIN = 0.05  # seconds that the node gets beyond the try's budget
 Reply = Answer | Refusal | Failure | LinkLost
 
@@ -127,7 +129,8 @@
         if not inbound.route.target_latency:
             return 0
         elapsed = self._links.now() - inbound.received_at
-        return max(1, int((inbound.route.target_latency - elapsed) * 1000))
+        wanted = _USABLE_SHARE * inbound.route.target_latency
+        return max(1, int((wanted - elapsed) * 1000))
 
     def _on_reply(self, reply: Reply) -> None:
         self._end_try(is_cancelled=False)
--- a/bluebellsill/http_server.py
+++ b/bluebellsill/http_server.py
@@ -39,11 +39,6 @@
         self._request = request
         self._is_streaming = False
 
-    @property
-    def remote_host(self) -> str:
-        """The address of the client."""
-        return self._connection.stream.remote_host
-
     def send(self, response: Response) -> None:
         """Send the whole answer; a second one is ignored."""
         if self.is_done:
--- a/bluebellsill/mesh_node.py
+++ b/bluebellsill/mesh_node.py
@@ -239,17 +239,18 @@
     def _build_callers(self) -> None:
         settings = self._settings
         members = self._peers.members
+        self._interface = RouteInterface(
+            CALLER_HEADERS,
+            settings.target.service,
+            self._state,
+            WeightedTurns(self._random),
+            self._quarantine,
+            self._clock,
+            self._random,
+        )
         self._gateway = Gateway(
             members.own.id,
-            RouteInterface(
-                CALLER_HEADERS,
-                settings.target.service,
-                self._state,
-                WeightedTurns(self._random),
-                self._quarantine,
-                self._clock,
-                self._random,
-            ),
+            self._interface,
             Placement(
                 members,
                 self._state,
@@ -397,8 +398,9 @@
             # Callers use open connections until the process is gone.
             self._gateway.refuse(request, reply, ErrorKind.LEAVING)
             return
-        own_host = Address.parse(self._peers.members.own.id).host
-        is_target = reply.remote_host == own_host
+        # Callers and the target use one address; only the target makes
+        # calls for a request that it works on.
+        is_target = self._runner.is_running(self._interface.parent(request))
         caller = self._settings.target.service if is_target else OUTSIDE
         self._gateway.handle(request, reply, caller)
 
--- a/bluebellsill/platform/headers.py
+++ b/bluebellsill/platform/headers.py
@@ -35,4 +35,6 @@
     deadline=DEADLINE,
     calling_service=CALLER_SERVICE,
     reserved=frozenset((EXPECTED_TARGET,)),
+    # A target's own calls extend the id of the request that it works on.
+    parent_separator='.',
 )
--- a/bluebellsill/route_interface.py
+++ b/bluebellsill/route_interface.py
@@ -44,12 +44,15 @@
         calling_service: The service beside whose target a call began; set
             by the node, whatever the caller sent.
         reserved: Headers that callers may not hand to a target.
+        parent_separator: Ends the id of a request within the ids of the
+            calls that its target makes for it.
     """
 
     request_id: str
     deadline: str
     calling_service: str
     reserved: frozenset[str]
+    parent_separator: str
 
 
 class RouteFilter:
@@ -124,6 +127,11 @@
         given = request.header(self._names.request_id)
         return given or f'{self._random.getrandbits(_ID_BITS):016x}'
 
+    def parent(self, request: Request) -> str:
+        """Return the id of the request that a call may be made for."""
+        own_id = request.header(self._names.request_id)
+        return own_id.partition(self._names.parent_separator)[0]
+
     def forwarded(self, inbound: Inbound) -> Headers:
         """Return the caller's end-to-end headers and where it called from."""
         kept = [
--- a/bluebellsill/slot_gate.py
+++ b/bluebellsill/slot_gate.py
@@ -84,7 +84,7 @@
         if not is_asked and not may_wait:
             ticket.retry_after = self.expected_wait(ticket, now)
             return Decision.REFUSE, None
-        ticket.leaves_queue_at = ticket.expires_at - self._work(ticket)
+        ticket.leaves_queue_at = self._latest_start(ticket)
         self._queue.append(ticket)
         return Decision.WAIT, None
 
@@ -119,16 +119,19 @@
         return admitted
 
     def expire(self, now: float) -> list[Ticket]:
-        """Take out the calls that cannot be answered any more.
+        """Take out the calls that cannot be answered in time any more.
 
-        A call that may not wait goes as soon as it is known that the
-        present moment does not suit it.
+        A late one stays only while nothing else waits for its slot: then
+        it is served late rather than not at all. A call that may not wait
+        goes as soon as it is known that the moment does not suit it.
         """
         is_known = self.slowness.is_fresh(now) or not self._may_start(now)
+        is_crowded = len(self._queue) > self.limit - len(self._running)
         expired = [
             ticket
             for ticket in self._queue
-            if now >= ticket.leaves_queue_at
+            if now >= ticket.expires_at - self._work(ticket)
+            or (is_crowded and now > ticket.leaves_queue_at)
             or (is_known and not ticket.may_wait)
         ]
         for ticket in expired:
@@ -169,7 +172,8 @@
         mine = self._order(ticket, now)
         for waiting in self._queue:
             if waiting is not ticket and self._order(waiting, now) <= mine:
-                heapreplace(free, free[0] + self._work(waiting))
+                delay = self.slowness.usual_delay
+                heapreplace(free, free[0] + self._work(waiting) + delay)
         wait = max(free[0], self.pace.wait(now))
         if self.slowness.gains_by_waiting(self._work(ticket)):
             wait = max(wait, self.slowness.spell)
@@ -206,10 +210,15 @@
             self._crowding = Crowding(max(1, slots))
 
     def _is_worth_a_wait(self, ticket: Ticket, now: float) -> bool:
-        ends_at = now + self.expected_wait(ticket, now) + self._work(ticket)
-        if ticket.is_inner or not ticket.wanted_at:
-            return ends_at <= ticket.expires_at
-        return ends_at <= min(ticket.wanted_at, ticket.expires_at)
+        starts_at = now + self.expected_wait(ticket, now)
+        return starts_at <= self._latest_start(ticket)
+
+    def _latest_start(self, ticket: Ticket) -> float:
+        """Return until when a start lets the call end in time."""
+        ends_at = ticket.expires_at
+        if ticket.wanted_at and not ticket.is_inner:
+            ends_at = min(ends_at, ticket.wanted_at)
+        return ends_at - self._work(ticket)
 
     def _is_moment(self, ticket: Ticket, now: float) -> bool:
         """Return whether a call is best started now rather than later."""
--- a/bluebellsill/slowness.py
+++ b/bluebellsill/slowness.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from math import exp
+
 __all__ = ('USUAL', 'Slowness')
 
 USUAL = 1.0  # work takes as long as usual
@@ -10,6 +12,7 @@
 _FRESH_SLOW = 0.02  # seconds; who waits for the end of a spell asks rarer
 _FIRST_SPELL = 0.15  # seconds; the brief's load shifts in milliseconds
 _SPELL_WEIGHT = 0.2  # of a new spell in the average
+_SHARE_LIFETIME = 3.0  # seconds over which the share of slow time is averaged
 
 
 class Slowness:
@@ -23,6 +26,7 @@
         """Create the slowness of a target that has not said anything."""
         self.factor = USUAL
         self.spell = _FIRST_SPELL
+        self.share: float = 0
         self._said_at: float | None = None
         self._slow_since: float | None = None
 
@@ -45,6 +49,9 @@
             factor: How many times longer than usual work takes.
             now: The time in seconds.
         """
+        if self._said_at is not None:
+            kept = exp(-max(0, now - self._said_at) / _SHARE_LIFETIME)
+            self.share = kept * self.share + (1 - kept) * self.is_slow
         self.factor = factor
         self._said_at = now
         if self.is_slow:
@@ -55,6 +62,11 @@
             self.spell += _SPELL_WEIGHT * (length - self.spell)
             self._slow_since = None
 
+    @property
+    def usual_delay(self) -> float:
+        """Seconds for which a slot that is freed waits for a spell's end."""
+        return self.share * self.spell
+
     def gains_by_waiting(self, work: float) -> bool:
         """Return whether work ends sooner if it waits for the spell's end.
 
--- a/bluebellsill/streams.py
+++ b/bluebellsill/streams.py
@@ -80,7 +80,6 @@
         self.is_connected = True
         self.is_closed = False
         self.is_ended = False
-        self.remote_host = ''
         self._closes_when_sent = False
         self._reactor = reactor
         self._socket = sock
@@ -243,12 +242,10 @@
         """Accept every connection that waits."""
         while True:
             try:
-                sock, remote = self._socket.accept()
+                sock, _ = self._socket.accept()
             except OSError:
                 return
-            stream = Stream(self._reactor, sock)
-            stream.remote_host = remote[0]
-            self._on_accepted(stream)
+            self._on_accepted(Stream(self._reactor, sock))
 
     def on_writable(self) -> None:
         """Do nothing: a listener never writes."""
--- a/bluebellsill/target_runner.py
+++ b/bluebellsill/target_runner.py
@@ -220,8 +220,10 @@
         if decision is Decision.RUN:
             self._dispatch(run)
         else:
-            wait = ticket.leaves_queue_at - now
+            wait = max(0, ticket.leaves_queue_at - now)
             self._reactor.timers.after(wait, self._expire_queue)
+            left = max(0, ticket.expires_at - now)
+            self._reactor.timers.after(left, self._expire_queue)
             self._wake_for_start(now)
             self._measuring.start()
         return run
@@ -244,6 +246,13 @@
             run.exchange.cancel()
         self._free(run.ticket)
 
+    def is_running(self, correlation: str) -> bool:
+        """Return whether the target works on a call of that name."""
+        return any(
+            run.call.correlation == correlation and run.ticket.started_at
+            for run in self._runs_by_ticket.values()
+        )
+
     def refuse_queue(self, kind: ErrorKind) -> None:
         """Refuse every call that waits."""
         for ticket in self.gate.drop_queue():
