Stand-ins of the platform, and the whole path as processes in the tests

Found by the new test of a stop, which failed first: a node that ends reset connections that were accepted or waiting, and closed accepted ones before their request had come. Now the listener takes what waits before it closes, and 0.2 s pass for what is on its way.

--- a/bluebellsill/http_server.py
+++ b/bluebellsill/http_server.py
@@ -106,9 +106,13 @@
         for connection in tuple(self._connections):
             connection.close_if_idle()
 
+    def stop_accepting(self) -> None:
+        """Accept no more connections; those that are open go on."""
+        self._listener.close()
+
     def close(self) -> None:
         """Accept no more connections and drain those that are open."""
-        self._listener.close()
+        self.stop_accepting()
         self.drain()
 
     @property
--- a/bluebellsill/mesh_node.py
+++ b/bluebellsill/mesh_node.py
@@ -64,6 +64,7 @@
 # Seconds in which callers still come after a SIGTERM: the platform asks
 # once a second and needs two answers that the node is not ready.
 _LEAVE_GRACE = 2.2
+_LINGER = 0.2  # seconds for which requests on their way are still answered
 _DRAIN_PERIOD = 0.05  # seconds between looks whether all is answered
 _GRACE_MARGIN = 0.4  # seconds before SIGKILL by which the node has ended
 _MEET_SECONDS = 2.0  # until a node without peers takes callers all the same
@@ -108,6 +109,7 @@
         self._quarantine = Quarantine()
         self._started_at = self._clock.now()
         self._left_at: float | None = None
+        self._closed_at: float | None = None
         self._is_draining = False
         self._was_zone_out = False
         self._build_peers()
@@ -347,7 +349,6 @@
 
     def _start_draining(self) -> None:
         self._is_draining = True
-        self._caller_server.drain()
         self._timers.every(_DRAIN_PERIOD, self._check_drained)
 
     def _check_drained(self) -> None:
@@ -357,6 +358,13 @@
         is_late = self._clock.now() >= ends_at
         if in_flight and not is_late:
             return
+        if self._closed_at is None:
+            # Nobody connects any more; what was accepted is answered.
+            self._closed_at = self._clock.now()
+            self._caller_server.stop_accepting()
+        has_lingered = self._clock.now() - self._closed_at > _LINGER
+        if not has_lingered and not is_late:
+            return
         if in_flight:
             self._log.error('drain timed out', in_flight=in_flight)
         self._peers.members.restate(state=MemberState.GONE)
--- a/bluebellsill/platform/endpoints.py
+++ b/bluebellsill/platform/endpoints.py
@@ -5,8 +5,7 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Annotated, Literal
 
-import msgspec
-from msgspec import Meta, Struct, json
+from msgspec import DecodeError, Meta, Struct, json
 
 from bluebellsill.http import Request, Response, json_response
 from bluebellsill.logs import get_logger
@@ -19,11 +18,18 @@
     from bluebellsill.http_server import Reply
     from bluebellsill.metrics import Metrics
 
-__all__ = ('METRICS_PATH', 'MetricsApi', 'ReadyApi', 'TargetReportApi')
+__all__ = (
+    'METRICS_PATH',
+    'READY_PATH',
+    'REPORT_PREFIX',
+    'MetricsApi',
+    'ReadyApi',
+    'TargetReportApi',
+)
 
 METRICS_PATH = '/metrics'
-_READY_PATH = '/ready'
-_REPORT_PREFIX = '/instances/'
+READY_PATH = '/ready'
+REPORT_PREFIX = '/instances/'
 _SECOND = 1000  # milliseconds
 _LEAVING = 'draining'
 _TEXT = ('content-type', 'text/plain; version=0.0.4')
@@ -94,7 +100,7 @@
     def handle(self, request: Request, reply: Reply) -> None:
         """Acknowledge a report, or refuse one that names no target."""
         path = request.path.partition('?')[0]
-        name = path.removeprefix(_REPORT_PREFIX)
+        name = path.removeprefix(REPORT_PREFIX)
         if name == path or not name:
             reply.send(Response(HTTPStatus.NOT_FOUND))
         elif request.method == 'PUT':
@@ -107,7 +113,7 @@
     def _take(self, name: str, body: bytes, reply: Reply) -> None:
         try:
             report = json.decode(body, type=_Report)
-        except msgspec.DecodeError as error:
+        except DecodeError as error:
             self._refuse(name, str(error), reply)
             return
         found = (report.info.service, report.address)
@@ -122,7 +128,7 @@
             farewell = (
                 json.decode(body, type=_Farewell) if body else _Farewell()
             )
-        except msgspec.DecodeError as error:
+        except DecodeError as error:
             self._refuse(name, str(error), reply)
             return
         self._on_departure(Departure(name, farewell.born))
@@ -142,7 +148,7 @@
 
     def handle(self, request: Request, reply: Reply) -> None:
         """Answer 200 or 503."""
-        if request.path != _READY_PATH:
+        if request.path != READY_PATH:
             reply.send(Response(HTTPStatus.NOT_FOUND))
         elif self._is_ready():
             reply.send(Response(HTTPStatus.OK))
--- a/bluebellsill/platform/headers.py
+++ b/bluebellsill/platform/headers.py
@@ -6,12 +6,14 @@
 
 __all__ = (
     'CALLER_HEADERS',
+    'CALLER_SERVICE',
     'COLD_LEFT',
     'DEADLINE',
     'EXPECTED_TARGET',
     'LOAD',
     'NOT_RUN',
     'REQUEST_ID',
+    'STAMP',
     'TARGET_NAME',
 )
 
@@ -29,6 +31,8 @@
 LOAD = 'bluebellsill-server-load'
 # Milliseconds that a target stays cold, in the answers to probes.
 COLD_LEFT = 'bluebellsill-cold-ms'
+# Signs a target's answer; it is passed on as it is.
+STAMP = 'bluebellsill-server-stamp'
 
 CALLER_HEADERS = HeaderNames(
     request_id=REQUEST_ID,
--- a/bluebellsill/platform/kv_store.py
+++ b/bluebellsill/platform/kv_store.py
@@ -8,8 +8,7 @@
 from typing import TYPE_CHECKING, Any, TypeVar
 from urllib.parse import urlencode
 
-import msgspec
-from msgspec import UNSET, Struct, UnsetType, json
+from msgspec import UNSET, DecodeError, Struct, UnsetType, json
 from result import Err, Ok, Result
 
 from bluebellsill.http import Request, Response
@@ -27,6 +26,12 @@
     'ItemEvent',
     'ItemPage',
     'ItemWatch',
+    'KEEP_PREFIX',
+    'LEASE_PATH',
+    'RANGE_PATH',
+    'TXN_PATH',
+    'Txn',
+    'WATCH_PATH',
     'KvFailure',
     'KvStore',
     'KvWrite',
@@ -36,6 +41,12 @@
 _WATCH_MARGIN = 1.0  # seconds beyond a watch's own wait
 _MILLISECONDS = 1000  # in a second
 
+RANGE_PATH = '/kv-range'
+WATCH_PATH = '/kv-watch'
+TXN_PATH = '/kv-txn'
+LEASE_PATH = '/kv-lease'
+KEEP_PREFIX = '/kv-keep/'
+
 AnswerType = TypeVar('AnswerType')
 
 
@@ -79,6 +90,35 @@
     current_rev: int
 
 
+class ExpectedRow(Struct, frozen=True):
+    """A key must be at a revision; 0 means that it must not exist."""
+
+    key: str
+    revision: int
+
+
+class WrittenRow(Struct, frozen=True):
+    """A key and its new value, in base64."""
+
+    key: str
+    value: str
+    lease: int = 0
+
+
+class Txn(Struct, frozen=True):
+    """A change of keys under a condition.
+
+    Attributes:
+        expected_revision: The condition, a row for each key.
+        writes: The new values.
+        remove: The keys to delete.
+    """
+
+    expected_revision: list[ExpectedRow]
+    writes: list[WrittenRow]
+    remove: list[str] = []
+
+
 class _Lease(Struct, frozen=True):
     lease: int
     ttl_ms: int
@@ -147,7 +187,7 @@
             query['after'] = after
         if may_be_old:
             query['serializable'] = '1'
-        self._call('GET', f'/kv-range?{urlencode(query)}', ItemPage, on_done)
+        self._call('GET', f'{RANGE_PATH}?{urlencode(query)}', ItemPage, on_done)
 
     def watch(
         self,
@@ -165,7 +205,7 @@
         }
         self._call(
             'GET',
-            f'/kv-watch?{urlencode(query)}',
+            f'{WATCH_PATH}?{urlencode(query)}',
             ItemWatch,
             on_done,
             timeout=wait + _WATCH_MARGIN,
@@ -177,25 +217,17 @@
         on_done: Callable[[Result[int, KvFailure]], None],
     ) -> None:
         """Write one key under a condition; the answer is its revision."""
-        document = {
-            'expected_revision': [
-                {'key': write.key, 'revision': write.expected_revision},
-            ],
-            'writes': [
-                {
-                    'key': write.key,
-                    'value': b64encode(write.payload).decode(),
-                    'lease': write.lease,
-                },
-            ],
-            'remove': [],
-        }
+        payload = b64encode(write.payload).decode()
+        txn = Txn(
+            [ExpectedRow(write.key, write.expected_revision)],
+            [WrittenRow(write.key, payload, write.lease)],
+        )
         self._call(
             'POST',
-            '/kv-txn',
+            TXN_PATH,
             _Written,
             lambda done: on_done(done.map(lambda written: written.revision)),
-            document,
+            txn,
         )
 
     def grant(
@@ -206,7 +238,7 @@
         """Take out a lease for some seconds; the answer is its number."""
         self._call(
             'POST',
-            '/kv-lease',
+            LEASE_PATH,
             _Lease,
             lambda done: on_done(done.map(lambda granted: granted.lease)),
             {'ttl_ms': int(lifetime * _MILLISECONDS)},
@@ -220,7 +252,7 @@
         """Renew a lease; status 404 tells that it has ended."""
         self._call(
             'POST',
-            f'/kv-keep/{lease}',
+            f'{KEEP_PREFIX}{lease}',
             _Kept,
             lambda done: on_done(done.map(lambda _: None)),
         )
@@ -264,6 +296,6 @@
         return Err(KvFailure(reason, response.status))
     try:
         return Ok(json.decode(response.body, type=answer_type))
-    except msgspec.DecodeError as error:
+    except DecodeError as error:
         reason = f'store sent {response.body[:64]!r}: {error}'
         return Err(KvFailure(reason, response.status, may_have_run=True))
--- a/bluebellsill/platform/node_keys.py
+++ b/bluebellsill/platform/node_keys.py
@@ -5,12 +5,12 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
-import msgspec
-from msgspec import Struct, json
+from msgspec import DecodeError, Struct, json
 from result import Err, Ok, Result
 
 from bluebellsill.logs import get_logger
 from bluebellsill.node_directory import DirectoryEntry, DirectoryFailure
+from bluebellsill.platform.kv_store import KvWrite
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -22,8 +22,6 @@
         KvStore,
     )
 
-from bluebellsill.platform.kv_store import KvWrite
-
 __all__ = ('LEASE_SECONDS', 'NodeKeys')
 
 LEASE_SECONDS = 600.0  # seconds; the longest that the platform grants
@@ -109,7 +107,7 @@
         node_id = item.key.removeprefix(_PREFIX)
         try:
             node_value = json.decode(item.value, type=_NodeValue)
-        except msgspec.DecodeError as error:
+        except DecodeError as error:
             self._log.warning('entry ignored', key=item.key, reason=str(error))
             return None
         return DirectoryEntry(node_id, node_value.zone)
--- a/bluebellsill/platform/routing_document.py
+++ b/bluebellsill/platform/routing_document.py
@@ -4,8 +4,7 @@
 
 from typing import Annotated
 
-import msgspec
-from msgspec import Meta, Struct, json
+from msgspec import DecodeError, Meta, Struct, json
 from result import Err, Ok, Result
 
 from bluebellsill.resources import Service
@@ -115,7 +114,7 @@
     """
     try:
         document = json.decode(payload, type=_Document)
-    except (msgspec.DecodeError, RecursionError) as error:
+    except (DecodeError, RecursionError) as error:
         return Err(f'not a routing document: {error}')
     rules = [
         (host.hostname, rule.prefix, rule)
--- a/bluebellsill/standins/command.py
+++ b/bluebellsill/standins/command.py
@@ -13,6 +13,11 @@
 from bluebellsill import __version__
 from bluebellsill._signals import take_signals
 from bluebellsill.standins.behaviour import Behaviour
+from bluebellsill.standins.kv_store import StandInKvStore
+from bluebellsill.standins.mesh_target import (
+    MeshTargetSettings,
+    StandInMeshTarget,
+)
 from bluebellsill.standins.store import StandInStore
 from bluebellsill.standins.target import StandInTarget
 from bluebellsill.streams import Address
@@ -20,6 +25,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from circuits import BaseComponent
+
     from bluebellsill.reactor import Reactor
 
 __all__ = ('main',)
@@ -86,6 +93,48 @@
         return 0
 
 
+class _KvStoreCommand(Command):
+    name = 'kv-store'
+    description = "Run a stand-in for the platform's metadata store."
+    options = [
+        option(
+            'listen', None, 'Where to listen.', flag=False, default=_LOOPBACK
+        ),
+    ]
+
+    def handle(self) -> int:
+        """Run the store until it is told to stop."""
+        store = StandInKvStore(Address.parse(self.option('listen')))
+        _announce(store.address)
+        _run(store, store.reactor, store.stop)
+        return 0
+
+
+class _MeshTargetCommand(Command):
+    name = 'mesh-target'
+    description = 'Run a stand-in for one target of the platform.'
+    options = [
+        option(
+            'listen', None, 'Where to listen.', flag=False, default=_LOOPBACK
+        ),
+        option('settings', None, 'A JSON object.', flag=False),
+    ]
+
+    def handle(self) -> int:
+        """Run the target until it is told to stop."""
+        text = self.option('settings') or '{}'
+        try:
+            settings = json.decode(text, type=MeshTargetSettings)
+        except ValidationError as error:
+            self.line_error(f'--settings: {error}')
+            return 2
+        address = Address.parse(self.option('listen'))
+        target = StandInMeshTarget(address, settings)
+        _announce(target.address)
+        _run(target, target.reactor, target.leave)
+        return 0
+
+
 def _announce(address: Address) -> None:
     line = json.encode({'listening': str(address)}).decode()
     sys.stdout.write(f'{line}\n')
@@ -93,7 +142,7 @@
 
 
 def _run(
-    component: StandInStore | StandInTarget,
+    component: BaseComponent,
     reactor: Reactor,
     on_stop: Callable[[], None],
 ) -> None:
@@ -107,4 +156,6 @@
     application = Application('bluebellsill-standin', __version__)
     application.add(_StoreCommand())
     application.add(_TargetCommand())
+    application.add(_KvStoreCommand())
+    application.add(_MeshTargetCommand())
     application.run()
--- /dev/null
+++ b/bluebellsill/standins/mesh_target.py
@@ -0,0 +1,313 @@
+"""A stand-in for a target of the platform, for tests and the demo."""
+
+from __future__ import annotations
+
+import os
+from collections import Counter, deque
+from dataclasses import dataclass
+from http import HTTPStatus
+from time import time
+from typing import TYPE_CHECKING
+from urllib.parse import parse_qs
+
+from circuits import BaseComponent
+from msgspec import Struct, json
+from result import Err, Result
+
+from bluebellsill.clock import SystemClock
+from bluebellsill.http import Request, Response, json_response
+from bluebellsill.http_client import HttpFailure, HttpPool
+from bluebellsill.http_server import HttpServer, Reply
+from bluebellsill.platform.endpoints import REPORT_PREFIX
+from bluebellsill.platform.headers import (
+    CALLER_SERVICE,
+    COLD_LEFT,
+    DEADLINE,
+    EXPECTED_TARGET,
+    LOAD,
+    NOT_RUN,
+    REQUEST_ID,
+    STAMP,
+    TARGET_NAME,
+)
+from bluebellsill.reactor import Reactor
+from bluebellsill.streams import Address
+from bluebellsill.timers import TimerService
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = ('MeshTargetSettings', 'StandInMeshTarget')
+
+_REPORT_PERIOD = 0.5  # seconds
+_REPORT_TIMEOUT = 1.0  # seconds
+_CALL_TIMEOUT = 5.0  # seconds; a call ends with its deadline before
+_LINGER = 1.0  # seconds for which a target serves on after its farewell
+_CRASH_EXIT = 70
+_SECOND = 1000  # milliseconds
+_PERCENT = 100
+_HEALTH_PATH = '/healthz'
+_STATS_PATH = '/_stats'
+_BEHAVIOUR_PATH = '/_behaviour'
+
+
+class MeshTargetSettings(Struct, frozen=True):
+    """Where a target is and what it bears.
+
+    Attributes:
+        service: Its service.
+        zone: Its availability zone.
+        reports: The node's address for reports.
+        callers: The node's address for calls of its own.
+        slots: The requests that it runs at a time.
+    """
+
+    service: str
+    zone: str
+    reports: str
+    callers: str
+    slots: int = 6
+
+
+class MeshBehaviour(Struct, frozen=True, forbid_unknown_fields=True):
+    """How the target misbehaves.
+
+    Attributes:
+        slowness: How many times longer than usual work takes.
+        cold_seconds: How long it says that it stays cold.
+        fails: Whether every request is answered 500, health well.
+        is_silent: Whether reports are left out.
+    """
+
+    slowness: float = 1
+    cold_seconds: float = 0
+    fails: bool = False
+    is_silent: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class _Job:
+    """One request that runs or waits."""
+
+    request: Request
+    options: dict[str, str]
+    reply: Reply
+    is_left: bool = False
+
+
+class StandInMeshTarget(BaseComponent):
+    """Works for as long as ``work`` of a query says, in milliseconds.
+
+    With ``call`` it makes a call of its own first, to a path of the same
+    host; ``crash`` ends the process.
+    """
+
+    channel = 'mesh_target'
+
+    def __init__(self, address: Address, settings: MeshTargetSettings) -> None:
+        """Bind the listener.
+
+        Raises:
+            OSError: The address cannot be bound.
+        """
+        super().__init__()
+        self.timers = TimerService(SystemClock())
+        self.reactor = Reactor(self.timers).register(self)
+        self._settings = settings
+        self._behaviour = MeshBehaviour()
+        self._name = f'i-{os.getpid():x}'
+        self._born = int(time() * _SECOND)
+        self._sequence = 0
+        self._is_leaving = False
+        self._jobs: set[_Job] = set()
+        self._waiting: deque[_Job] = deque()
+        self._counts: Counter[str] = Counter()
+        self._runs: Counter[str] = Counter()
+        self._log: list[dict[str, str | float]] = []
+        self._server = HttpServer(self.reactor, address, self._on_request)
+        reports = Address.parse(settings.reports)
+        self._reports = HttpPool(self.reactor, reports)
+        self._calls = HttpPool(self.reactor, Address.parse(settings.callers))
+        self.timers.after(0, self._report)
+        self.timers.every(_REPORT_PERIOD, self._report)
+
+    @property
+    def address(self) -> Address:
+        """Where the target listens."""
+        return self._server.address
+
+    def leave(self) -> None:
+        """Say that no new work is wanted, linger, say farewell and end."""
+        self._is_leaving = True
+        self._report()
+        self.timers.after(_LINGER, self._say_farewell)
+
+    def _say_farewell(self) -> None:
+        request = Request('DELETE', f'{REPORT_PREFIX}{self._name}')
+        self._reports.request(request, _REPORT_TIMEOUT, lambda _: self.stop())
+
+    def _report(self) -> None:
+        if self._behaviour.is_silent:
+            return
+        self._sequence += 1
+        settings = self._settings
+        document = {
+            'address': str(self.address),
+            'born': self._born,
+            'info': {
+                'service': settings.service,
+                'version': 'v1',
+                'zone': settings.zone,
+                'slots': settings.slots,
+            },
+            'status': {
+                'state': 'draining' if self._is_leaving else 'ready',
+                'sequence': self._sequence,
+                'cold_left_ms': self._behaviour.cold_seconds * _SECOND,
+            },
+        }
+        path = f'{REPORT_PREFIX}{self._name}'
+        request = Request('PUT', path, body=json.encode(document))
+        self._reports.request(request, _REPORT_TIMEOUT, self._on_reported)
+
+    def _on_reported(self, done: Result[Response, HttpFailure]) -> None:
+        is_taken = not isinstance(done, Err) and (
+            done.ok_value.status == HTTPStatus.OK
+        )
+        self._counts['reports' if is_taken else 'reports_lost'] += 1
+
+    def _on_request(self, request: Request, reply: Reply) -> None:
+        path, _, query = request.path.partition('?')
+        if path == _STATS_PATH:
+            document = {
+                'counts': dict(self._counts),
+                'runs': dict(self._runs),
+                'log': self._log,
+            }
+            reply.send(json_response(HTTPStatus.OK, document))
+        elif path == _BEHAVIOUR_PATH:
+            self._behaviour = json.decode(request.body, type=MeshBehaviour)
+            reply.send(json_response(HTTPStatus.OK, {}))
+        elif path == _HEALTH_PATH:
+            self._answer_probe(reply)
+        else:
+            options = {
+                name: found[0] for name, found in parse_qs(query).items()
+            }
+            self._take(_Job(request, options, reply))
+
+    def _answer_probe(self, reply: Reply) -> None:
+        self._counts['probes'] += 1
+        status = HTTPStatus.OK
+        if self._is_leaving:
+            status = HTTPStatus.SERVICE_UNAVAILABLE
+        cold_ms = int(self._behaviour.cold_seconds * _SECOND)
+        headers = [
+            (TARGET_NAME, self._name),
+            (COLD_LEFT, str(cold_ms)),
+            self._load(),
+        ]
+        reply.send(Response(status, headers))
+
+    def _take(self, job: _Job) -> None:
+        self._counts['arrivals'] += 1
+        expected = job.request.header(EXPECTED_TARGET)
+        if expected and expected != self._name:
+            headers = [(TARGET_NAME, self._name)]
+            job.reply.send(Response(HTTPStatus.MISDIRECTED_REQUEST, headers))
+            return
+        if len(self._jobs) >= self._settings.slots:
+            if len(self._waiting) >= self._settings.slots:
+                self._reject(job)
+                return
+            self._waiting.append(job)
+        else:
+            self._run(job)
+
+    def _reject(self, job: _Job) -> None:
+        self._counts['rejected'] += 1
+        headers = [(NOT_RUN, '1'), self._load(), self._id(job)]
+        job.reply.send(Response(HTTPStatus.SERVICE_UNAVAILABLE, headers))
+
+    def _run(self, job: _Job) -> None:
+        if 'crash' in job.options:
+            os._exit(_CRASH_EXIT)
+        self._jobs.add(job)
+        request = job.request
+        self._runs[request.header(REQUEST_ID)] += 1
+        self._log.append(
+            {
+                'at': time(),
+                'id': request.header(REQUEST_ID),
+                'path': request.path,
+                'caller': request.header(CALLER_SERVICE),
+                'deadline_ms': request.header(DEADLINE),
+            },
+        )
+        job.reply.on_abandoned = lambda: self._drop(job)
+        if 'call' in job.options:
+            self._call(job)
+        else:
+            self._work(job)
+
+    def _call(self, job: _Job) -> None:
+        request = job.request
+        own_id = f'{request.header(REQUEST_ID)}.{len(self._log):x}'
+        headers = [
+            ('host', request.header('host')),
+            (REQUEST_ID, own_id),
+            (DEADLINE, request.header(DEADLINE)),
+        ]
+
+        def on_called(done: Result[Response, HttpFailure]) -> None:
+            is_whole = not isinstance(done, Err) and (
+                done.ok_value.status == HTTPStatus.OK
+            )
+            if is_whole:
+                self._work(job)
+            else:
+                self._finish(job, HTTPStatus.INTERNAL_SERVER_ERROR)
+
+        call = Request('GET', job.options['call'], headers)
+        self._calls.request(call, _CALL_TIMEOUT, on_called)
+
+    def _work(self, job: _Job) -> None:
+        seconds = float(job.options.get('work', 0)) / _SECOND
+        status = HTTPStatus.OK
+        if self._behaviour.fails:
+            status = HTTPStatus.INTERNAL_SERVER_ERROR
+        finish: Callable[[], None] = lambda: self._finish(job, status)
+        self.timers.after(seconds * self._behaviour.slowness, finish)
+
+    def _finish(self, job: _Job, status: HTTPStatus) -> None:
+        if job not in self._jobs:
+            return
+        self._counts['answered'] += 1
+        document = {'id': job.request.header(REQUEST_ID), 'by': self._name}
+        headers = [self._load(), self._id(job), (STAMP, self._name)]
+        job.reply.send(Response(status, headers, json.encode(document)))
+        self._free(job)
+
+    def _drop(self, job: _Job) -> None:
+        self._counts['dropped'] += 1
+        if job in self._waiting:
+            self._waiting.remove(job)
+        self._free(job)
+
+    def _free(self, job: _Job) -> None:
+        self._jobs.discard(job)
+        while self._waiting and len(self._jobs) < self._settings.slots:
+            self._run(self._waiting.popleft())
+
+    def _id(self, job: _Job) -> tuple[str, str]:
+        return REQUEST_ID, job.request.header(REQUEST_ID)
+
+    def _load(self) -> tuple[str, str]:
+        slowness = int(self._behaviour.slowness * _PERCENT)
+        figures = (
+            len(self._jobs),
+            len(self._waiting),
+            self._settings.slots,
+            slowness,
+        )
+        return LOAD, ','.join(str(figure) for figure in figures)
--- a/bluebellsill/streams.py
+++ b/bluebellsill/streams.py
@@ -251,7 +251,8 @@
         """Do nothing: a listener never writes."""
 
     def close(self) -> None:
-        """Accept no more connections."""
+        """Accept what waits, then no more."""
         if self._socket.fileno() >= 0:
+            self.on_readable()
             self._reactor.remove(self)
             self._socket.close()
--- /dev/null
+++ b/demo/mesh_harness.py
@@ -0,0 +1,291 @@
+"""Runs a deployment of the platform's kind as processes on loopback."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import os
+import signal
+import time
+from contextlib import ExitStack, contextmanager
+from dataclasses import dataclass, field
+from socket import create_server
+from typing import TYPE_CHECKING, Any
+
+from demo.program import Process
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+    from pathlib import Path
+
+_WAIT = 20.0  # seconds
+_POLL = 0.05  # seconds
+_HTTP_TIMEOUT = 5.0  # seconds
+HOST = 'shop.example'
+_LISTENERS = ('peers', 'callers', 'reports', 'ready', 'metrics', 'target')
+_HOSTS = 250  # loopback networks and hosts, without their ends
+_NETWORKS = _HOSTS * _HOSTS
+
+
+@dataclass
+class Reply:
+    """What a caller got: status 0 without an answer."""
+
+    status: int
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b''
+
+
+@dataclass
+class Vm:
+    """One VM: a node and the target beside it."""
+
+    name: str
+    zone: str
+    service: str
+    ports: dict[str, str]
+    settings: Path
+    node: Process | None = None
+    target: Process | None = None
+
+
+def wait_until(
+    is_so: Callable[[], bool], what: str, seconds: float = _WAIT
+) -> None:
+    """Wait until something is so, or fail by its name."""
+    ends_at = time.monotonic() + seconds
+    while time.monotonic() < ends_at:
+        if is_so():
+            return
+        time.sleep(_POLL)
+    raise TimeoutError(f'{what} within {seconds} s')
+
+
+def fetch(
+    address: str,
+    method: str,
+    path: str,
+    body: bytes = b'',
+    headers: dict[str, str] | None = None,
+    timeout: float = _HTTP_TIMEOUT,
+) -> Reply:
+    """Make one request on a new connection."""
+    connection = http.client.HTTPConnection(address, timeout=timeout)
+    try:
+        connection.request(method, path, body or None, headers or {})
+        found = connection.getresponse()
+        named = {name.lower(): text for name, text in found.getheaders()}
+        return Reply(found.status, named, found.read())
+    except (OSError, http.client.HTTPException):
+        return Reply(0)
+    finally:
+        connection.close()
+
+
+class MeshDeployment:
+    """A stand-in store, nodes and a stand-in target beside each."""
+
+    def __init__(self, folder: Path) -> None:
+        """Start the store; logs and settings go to ``folder``."""
+        self.folder = folder
+        self.vms: list[Vm] = []
+        self.version = 0
+        command = ['bluebellsill-standin', 'kv-store']
+        self.store = Process(command, folder / 'store.log')
+        self.store.read_listening()
+
+    def add(self, zone: str, service: str, *, is_first: bool = True) -> Vm:
+        """Start a VM."""
+        index = len(self.vms) + 1
+        ports = _free_addresses(index)
+        vm = Vm(
+            f'vm-{index}',
+            zone,
+            service,
+            ports,
+            self.folder / f'vm-{index}.toml',
+        )
+        self._write_settings(vm, is_first=is_first)
+        self.vms.append(vm)
+        self.start_node(vm)
+        self.start_target(vm)
+        return vm
+
+    def start_node(self, vm: Vm) -> None:
+        """Start the node of a VM."""
+        command = ['bluebellsill-mesh', str(vm.settings)]
+        log = self.folder / f'{vm.name}.log'
+        vm.node = Process(command, log, output_to_log=True)
+
+    def restart_node(self, vm: Vm) -> None:
+        """Kill the node of a VM and start it again."""
+        if vm.node is not None:
+            vm.node.kill()
+        self._write_settings(vm, is_first=False)
+        self.start_node(vm)
+
+    def start_target(self, vm: Vm) -> None:
+        """Start the target of a VM."""
+        settings = json.dumps(
+            {
+                'service': vm.service,
+                'zone': vm.zone,
+                'reports': vm.ports['reports'],
+                'callers': vm.ports['callers'],
+            },
+        )
+        command = [
+            'bluebellsill-standin',
+            'mesh-target',
+            f'--listen={vm.ports["target"]}',
+            f'--settings={settings}',
+        ]
+        vm.target = Process(command, self.folder / f'{vm.name}-target.log')
+        vm.target.read_listening()
+
+    def declare(self, routes: list[dict[str, Any]]) -> None:
+        """Write a routing document of the next version."""
+        self.version += 1
+        services = {route.get('service', '') for route in routes}
+        document = {
+            'version': f'r{self.version}',
+            'services': [
+                {'name': name, 'health_path': '/healthz', 'cold_per_s': 8}
+                for name in sorted(services - {''})
+            ],
+            'virtual_hosts': [{'hostname': HOST, 'path_rules': routes}],
+        }
+        self.operate('PUT', 'op/config', json.dumps(document).encode())
+
+    def operate(self, method: str, key: str, body: bytes = b'') -> None:
+        """Write or remove a key as an operator."""
+        reply = fetch(self.store.listening, method, f'/_keys/{key}', body)
+        assert reply.status == http.client.OK, reply
+
+    def misbehave(self, **behaviour: Any) -> None:
+        """Let the store misbehave toward nodes; nothing ends that."""
+        body = json.dumps(behaviour).encode()
+        reply = fetch(self.store.listening, 'PUT', '/_behaviour', body)
+        assert reply.status == http.client.OK, reply
+
+    def store_forgets(self) -> None:
+        """Let the store forget its history and cut its watches."""
+        fetch(self.store.listening, 'DELETE', '/_history')
+
+    def change_target(self, vm: Vm, **behaviour: Any) -> None:
+        """Let the target of a VM misbehave."""
+        body = json.dumps(behaviour).encode()
+        fetch(vm.ports['target'], 'PUT', '/_behaviour', body)
+
+    def stats(self, vm: Vm) -> dict[str, Any]:
+        """Return what the target of a VM has counted."""
+        reply = fetch(vm.ports['target'], 'GET', '/_stats')
+        found: dict[str, Any] = json.loads(reply.body)
+        return found
+
+    def runs(self) -> dict[str, int]:
+        """Return how often each request has run, over all targets."""
+        runs: dict[str, int] = {}
+        for vm in self.vms:
+            if vm.target is None or vm.target.has_ended:
+                continue
+            for name, times in self.stats(vm)['runs'].items():
+                runs[name] = runs.get(name, 0) + times
+        return runs
+
+    def is_ready(self, vm: Vm) -> bool:
+        """Return whether the node of a VM takes callers."""
+        return fetch(vm.ports['ready'], 'GET', '/ready').status == (
+            http.client.OK
+        )
+
+    def call(
+        self,
+        vm: Vm,
+        path: str,
+        *,
+        method: str = 'GET',
+        name: str = '',
+        deadline_ms: int = 2000,
+        body: bytes = b'',
+    ) -> Reply:
+        """Make a caller's request at the node of a VM."""
+        headers = {
+            'Host': HOST,
+            'Bluebellsill-Request-Id': name or f'{time.monotonic_ns():x}',
+            'Bluebellsill-Deadline-Ms': str(deadline_ms),
+        }
+        return fetch(
+            vm.ports['callers'],
+            method,
+            path,
+            body,
+            headers,
+            deadline_ms / 1000 + 1,
+        )
+
+    def close(self) -> None:
+        """End every process that was started."""
+        for vm in self.vms:
+            for process in (vm.node, vm.target):
+                if process is not None:
+                    process.kill()
+        self.store.kill()
+
+    def stop_node(self, vm: Vm) -> None:
+        """Ask the node of a VM to stop."""
+        if vm.node is not None:
+            vm.node.send(signal.SIGTERM)
+
+    def _write_settings(self, vm: Vm, *, is_first: bool) -> None:
+        ports = vm.ports
+        vm.settings.write_text(
+            '\n'.join(
+                (
+                    '[node]',
+                    f'name = "{vm.name}"',
+                    f'availability_zone = "{vm.zone}"',
+                    f'is_first_start = {str(is_first).lower()}',
+                    '[listen]',
+                    *(
+                        f'{name} = "{ports[name]}"'
+                        for name in ports
+                        if name != 'target'
+                    ),
+                    '[target]',
+                    f'service = "{vm.service}"',
+                    f'address = "{ports["target"]}"',
+                    'report_period_ms = 500',
+                    '[store]',
+                    f'address = "{self.store.listening}"',
+                    '[bounds]',
+                    'grace_s = 6',
+                ),
+            ),
+            encoding='utf-8',
+        )
+
+
+@contextmanager
+def running(folder: Path) -> Iterator[MeshDeployment]:
+    """Run a deployment and end it whatever happens."""
+    deployment = MeshDeployment(folder)
+    try:
+        yield deployment
+    finally:
+        deployment.close()
+
+
+def _free_addresses(index: int) -> dict[str, str]:
+    """Return addresses of a VM's own, which no connection can take."""
+    first, second = divmod(os.getpid() % _NETWORKS, _HOSTS)
+    host = f'127.{1 + first}.{1 + second}.{index}'
+    with ExitStack() as stack:
+        servers = {
+            name: stack.enter_context(create_server((host, 0)))
+            for name in _LISTENERS
+        }
+        return {
+            name: f'{host}:{server.getsockname()[1]}'
+            for name, server in servers.items()
+        }
--- a/demo/program.py
+++ b/demo/program.py
@@ -22,13 +22,26 @@
 class Process:
     """A program that prints where it listens."""
 
-    def __init__(self, arguments: Sequence[str], log: Path) -> None:
-        """Start the program and wait for its first line."""
+    def __init__(
+        self,
+        arguments: Sequence[str],
+        log: Path,
+        *,
+        output_to_log: bool = False,
+    ) -> None:
+        """Start the program.
+
+        Args:
+            arguments: The program's name and its arguments.
+            log: Where its standard error goes.
+            output_to_log: Whether its standard output goes there too, for
+                a program that does not tell there where it listens.
+        """
         self.log = log
         with log.open('ab') as errors:
             self._process = subprocess.Popen(
                 [str(BIN / arguments[0]), *arguments[1:]],
-                stdout=subprocess.PIPE,
+                stdout=errors if output_to_log else subprocess.PIPE,
                 stderr=errors,
             )
         self.listening: Any = None
--- /dev/null
+++ b/tests/test_mesh_path.py
@@ -0,0 +1,260 @@
+"""The whole path on the platform, with real processes on loopback."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from threading import Thread
+from typing import Any
+
+import pytest
+
+from demo.mesh_harness import (
+    HOST,
+    MeshDeployment,
+    Reply,
+    running,
+    wait_until,
+)
+
+_ZONES = ('a', 'b', 'c')
+
+
+def _route(prefix: str, service: str, **changes: Any) -> dict[str, Any]:
+    return {
+        'name': f'r-{service}-{prefix.strip("/")}',
+        'prefix': prefix,
+        'route_type': 'idempotent',
+        'timeout_ms': 1000,
+        'target_latency_ms': 500,
+        'priority': 1,
+        'service': service,
+        'max_attempts': 2,
+    } | changes
+
+
+_ROUTES = [
+    _route('/shop/', 'shop'),
+    _route('/pay/', 'pay', route_type='non_idempotent', priority=0),
+]
+
+
+@pytest.fixture
+def deployment(tmp_path: Path) -> Iterator[MeshDeployment]:
+    """Three zones with a target of each of two services."""
+    with running(tmp_path) as found:
+        for zone in _ZONES:
+            found.add(zone, 'shop')
+            found.add(zone, 'pay')
+        found.declare(_ROUTES)
+        wait_until(lambda: _is_serving(found), 'all nodes serve')
+        yield found
+
+
+def _is_serving(found: MeshDeployment) -> bool:
+    return all(
+        found.is_ready(vm)
+        and found.call(vm, '/shop/x').status == 200
+        and found.call(vm, '/pay/x', method='POST').status == 200
+        for vm in found.vms
+    )
+
+
+def _arrivals(found: MeshDeployment, vm: Any) -> int:
+    return int(found.stats(vm)['counts'].get('arrivals', 0))
+
+
+def _shops(found: MeshDeployment) -> list[Any]:
+    return [vm for vm in found.vms if vm.service == 'shop']
+
+
+def test_requests_are_served_by_their_service(
+    deployment: MeshDeployment,
+) -> None:
+    entry = deployment.vms[0]
+    for one in range(20):
+        path = f'/pay/x?work=5&call=/shop/y%3Fwork%3D5&n={one}'
+        reply = deployment.call(entry, path, method='POST', name=f'p{one}')
+        assert reply.status == 200
+        assert json.loads(reply.body)['id'] == f'p{one}'
+        assert reply.headers['bluebellsill-server-stamp']
+    runs = deployment.runs()
+    assert all(runs[f'p{one}'] == 1 for one in range(20))
+    callers = {
+        line['caller']
+        for vm in _shops(deployment)
+        for line in deployment.stats(vm)['log']
+        if line['id'].startswith('p')
+    }
+    assert callers == {'pay'}
+    assert deployment.call(entry, '/none/x').status == 404
+
+
+def test_cold_target_is_paced_and_slow_one_is_left_alone(
+    deployment: MeshDeployment,
+) -> None:
+    first, second, third = _shops(deployment)
+    deployment.change_target(first, slowness=5)
+    deployment.change_target(second, cold_seconds=5)
+    time.sleep(1)
+    before = {
+        vm.name: _arrivals(deployment, vm) for vm in (first, second, third)
+    }
+    for one in range(60):
+        reply = deployment.call(deployment.vms[one % 6], '/shop/x?work=20')
+        assert reply.status == 200
+    arrived = {
+        vm.name: _arrivals(deployment, vm) - before[vm.name]
+        for vm in (first, second, third)
+    }
+    assert arrived[third.name] > arrived[first.name]
+    cold = [line['at'] for line in deployment.stats(second)['log']][-60:]
+    assert all(
+        sum(start <= one < start + 1 for one in cold) <= 16 for start in cold
+    )
+
+
+def test_evacuated_zone_gets_nothing_and_comes_back(
+    deployment: MeshDeployment,
+) -> None:
+    victim = _shops(deployment)[0]
+    deployment.operate('PUT', 'op/evacuate/a', b'{}')
+    time.sleep(1)
+    before = _arrivals(deployment, victim)
+    for one in range(30):
+        vm = deployment.vms[one % 6]
+        assert deployment.call(vm, '/shop/x').status == 200
+    assert _arrivals(deployment, victim) == before
+    deployment.operate('DELETE', 'op/evacuate/a')
+
+    def is_back() -> bool:
+        deployment.call(victim, '/shop/x')
+        return _arrivals(deployment, victim) > before
+
+    wait_until(is_back, 'the zone is back', 5)
+
+
+def test_store_outage_and_a_restart_in_it_do_no_harm(
+    deployment: MeshDeployment,
+) -> None:
+    deployment.misbehave(refuses=True)
+    restarted = deployment.vms[1]
+    deployment.restart_node(restarted)
+    for one in range(20):
+        reply = deployment.call(deployment.vms[2 + one % 4], '/shop/x')
+        assert reply.status == 200
+    wait_until(lambda: deployment.is_ready(restarted), 'peers tell it', 10)
+    reply = deployment.call(restarted, '/shop/x')
+    assert reply.status == 200
+    deployment.misbehave()
+    routes = [*_ROUTES, _route('/new/', 'shop')]
+    deployment.declare(routes)
+
+    def is_in_force() -> bool:
+        return all(
+            deployment.call(vm, '/new/x').status == 200 for vm in deployment.vms
+        )
+
+    wait_until(is_in_force, 'the new route is in force', 6)
+
+
+def test_forgotten_history_loses_no_change(deployment: MeshDeployment) -> None:
+    for one in range(3):
+        routes = [*_ROUTES, _route(f'/new{one}/', 'shop')]
+        deployment.declare(routes)
+        deployment.operate('PUT', 'op/evacuate/b', b'{}')
+        deployment.store_forgets()
+        deployment.operate('DELETE', 'op/evacuate/b')
+    path = '/new2/x'
+    wait_until(
+        lambda: all(
+            deployment.call(vm, path).status == 200 for vm in deployment.vms
+        ),
+        'the last version is in force',
+        6,
+    )
+
+
+def test_leaving_target_gets_no_new_work_even_after_a_restart(
+    deployment: MeshDeployment,
+) -> None:
+    vm = _shops(deployment)[1]
+    assert vm.target is not None
+    vm.target.send(15)
+    time.sleep(0.3)
+    before = _arrivals(deployment, vm)
+    deployment.restart_node(vm)
+    for one in range(20):
+        deployment.call(deployment.vms[one % 6], '/shop/x')
+    if not vm.target.has_ended:
+        assert _arrivals(deployment, vm) == before
+
+
+def test_target_that_fails_everything_loses_its_share(
+    deployment: MeshDeployment,
+) -> None:
+    failing = _shops(deployment)[0]
+    deployment.change_target(failing, fails=True)
+    statuses = [
+        deployment.call(deployment.vms[one % 6], f'/shop/{one}').status
+        for one in range(60)
+    ]
+    assert statuses.count(200) >= 50
+    assert statuses[-20:].count(200) >= 19
+
+
+def test_stop_answers_every_request_that_was_read(
+    deployment: MeshDeployment,
+) -> None:
+    """Callers keep using an open connection until the process is gone."""
+    vm = deployment.vms[0]
+    replies: list[Reply] = []
+    lost: list[str] = []
+
+    def keep_calling() -> None:
+        address = vm.ports['callers']
+        ends_at = time.monotonic() + 8
+        while time.monotonic() < ends_at:
+            connection = http.client.HTTPConnection(address, timeout=3)
+            try:
+                _call_on(connection, replies)
+            except ConnectionRefusedError:
+                return
+            except (OSError, http.client.HTTPException) as error:
+                lost.append(repr(error))
+            finally:
+                connection.close()
+
+    threads = [Thread(target=keep_calling) for _ in range(4)]
+    for thread in threads:
+        thread.start()
+    time.sleep(0.5)
+    began = time.monotonic()
+    deployment.stop_node(vm)
+    assert vm.node is not None
+    assert vm.node.wait(7) == 0
+    assert time.monotonic() - began < 6
+    for thread in threads:
+        thread.join(10)
+    assert len(replies) > 20
+    assert {reply.status for reply in replies} <= {200, 503}
+    assert not lost
+
+
+def _call_on(
+    connection: http.client.HTTPConnection, replies: list[Reply]
+) -> None:
+    while True:
+        headers = {
+            'Host': HOST,
+            'Bluebellsill-Request-Id': f'{time.monotonic_ns():x}',
+            'Bluebellsill-Deadline-Ms': '2000',
+        }
+        connection.request('GET', '/shop/x?work=150', headers=headers)
+        found = connection.getresponse()
+        replies.append(Reply(found.status, {}, found.read()))
+        if found.getheader('connection') == 'close':
+            return
