Ask another peer for a revision while the first one is silent

Ruled out: the readers (all others had the version 0.01 s after the store).

Change: after 0.25 s without a reply the next peer that is heard is asked too. Test: test_revision_spread, failed before.

--- a/bluebellsill/revision_spread.py
+++ b/bluebellsill/revision_spread.py
@@ -33,29 +33,40 @@
         """
 
 
+_PATIENCE = 0.25  # seconds until another peer is asked beside the first
+
+
 class RevisionSpread:
-    """Fetches what is missing from a peer that is ahead."""
+    """Fetches what is missing from a peer that is ahead.
+
+    A peer may be told of over datagrams and yet be silent on its
+    connection; so a fetch that takes long does not keep others from
+    starting.
+    """
 
     def __init__(self, replica: Replica, links: PeerLinks) -> None:
         """Bring ``replica`` up to date over ``links``."""
         self._replica = replica
         self._links = links
-        self._is_fetching = False
+        self._fetch_id = 0
+        self._asked_at: float | None = None
         self._log = get_logger('revisions')
 
     def on_heard(self, peer: str, revision: int) -> None:
         """Fetch from a peer that has a newer revision."""
-        if self._is_fetching or revision <= self._replica.revision:
+        if revision <= self._replica.revision:
             return
-        self._is_fetching = True
-        request = RevisionRequest(
-            self._links.next_id(),
-            self._replica.revision,
-        )
+        now = self._links.now()
+        asked_at = self._asked_at
+        if asked_at is not None and now - asked_at < _PATIENCE:
+            return
+        self._asked_at = now
+        self._fetch_id = self._links.next_id()
+        request = RevisionRequest(self._fetch_id, self._replica.revision)
         self._links.request(
             peer,
             request,
-            lambda reply: self._on_reply(peer, reply),
+            lambda reply: self._on_reply(peer, request.id, reply),
         )
 
     def on_request(
@@ -67,8 +78,14 @@
         snapshot, changes = self._replica.export(request.after)
         connection.send(Revisions(request.id, snapshot, changes))
 
-    def _on_reply(self, peer: str, reply: Revisions | LinkLost) -> None:
-        self._is_fetching = False
+    def _on_reply(
+        self,
+        peer: str,
+        fetch_id: int,
+        reply: Revisions | LinkLost,
+    ) -> None:
+        if fetch_id == self._fetch_id:
+            self._asked_at = None
         if isinstance(reply, LinkLost):
             self._log.info('fetch failed', peer=peer, reason=reply.reason)
             return
