--- a/bluebellsill/breaker.py
+++ b/bluebellsill/breaker.py
@@ -4,6 +4,8 @@
 
 from math import exp
 
+from bluebellsill.logs import get_logger
+
 __all__ = ('Breaker',)
 
 _WEIGHT = 0.15  # of a new answer in the share of failures
@@ -31,6 +33,7 @@
         self._in_a_row = 0
         self._pause: float = 0
         self._trial_at: float = 0
+        self._log = get_logger('breaker')
 
     @property
     def is_open(self) -> bool:
@@ -54,6 +57,8 @@
     def on_success(self, now: float) -> None:
         """Take in an answer that was no failure."""
         self._observe(0, now)
+        if self.is_open:
+            self._log.warning('breaker closed')
         self._in_a_row = 0
         self._pause = 0
 
@@ -65,6 +70,7 @@
             self._pause = min(_MAX_PAUSE, self._pause * _GROWTH)
             self._trial_at = now + self._pause
         elif self._in_a_row >= _ENOUGH:
+            self._log.warning('breaker opened', failures=self._in_a_row)
             self._pause = _FIRST_PAUSE
             self._trial_at = now + _FIRST_PAUSE
 
--- a/bluebellsill/calls.py
+++ b/bluebellsill/calls.py
@@ -15,7 +15,8 @@
     from collections.abc import Callable
 
     from bluebellsill.filters import Inbound
-    from bluebellsill.target_runner import Run, TargetRunner
+    from bluebellsill.runs import Run
+    from bluebellsill.target_runner import TargetRunner
     from bluebellsill.timers import Timer
 
 __all__ = ('PlacedCall',)
--- a/bluebellsill/mesh_node.py
+++ b/bluebellsill/mesh_node.py
@@ -17,6 +17,7 @@
 from bluebellsill.errors import ErrorKind
 from bluebellsill.feed_reader import FeedReader
 from bluebellsill.gateway import Gateway
+from bluebellsill.graceful_stop import GracefulStop
 from bluebellsill.http_server import HttpServer
 from bluebellsill.logs import bind_logs, flush_logs, get_logger
 from bluebellsill.membership import MemberState
@@ -40,8 +41,9 @@
 from bluebellsill.quarantine import Quarantine
 from bluebellsill.reactor import Reactor
 from bluebellsill.resources import OUTSIDE, Service
-from bluebellsill.retries import BudgetRules, RetryBudget
+from bluebellsill.retries import RetryBudget
 from bluebellsill.route_interface import RouteInterface
+from bluebellsill.shared_budget import shared_budget
 from bluebellsill.slot_gate import SlotGate
 from bluebellsill.streams import Address
 from bluebellsill.target_lives import Departure, TargetLives, TargetReport
@@ -61,19 +63,10 @@
 
 _LOG_PERIOD = 0.1  # seconds until lines that a slow reader left are tried
 _SEED_BYTES = 8
-# Seconds in which callers still come after a SIGTERM: the platform asks
-# once a second and needs two answers that the node is not ready.
-_LEAVE_GRACE = 2.2
-_LINGER = 0.2  # seconds for which requests on their way are still answered
-_DRAIN_PERIOD = 0.05  # seconds between looks whether all is answered
-_GRACE_MARGIN = 0.4  # seconds before SIGKILL by which the node has ended
 _MEET_SECONDS = 2.0  # until a node without peers takes callers all the same
 _REPORT_LIVES = 6  # report periods until a silent target is lost
 _CONFIRM_SHARE = 0.9  # of a report period; the second report confirms
 _PROBE_PERIOD = 0.5  # seconds; how long a target may be cold unnoticed
-# The share of the common retry budget that is used: the nodes cannot count
-# exactly, and calls of requests that run again count too.
-_BUDGET_SHARE = 0.5
 
 
 class MeshNode(BaseComponent):
@@ -108,14 +101,17 @@
         self._metrics = Metrics()
         self._quarantine = Quarantine()
         self._started_at = self._clock.now()
-        self._left_at: float | None = None
-        self._closed_at: float | None = None
-        self._is_draining = False
         self._was_zone_out = False
         self._build_peers()
         self._build_target()
         self._build_callers()
         self._build_gauges()
+        self._stop = GracefulStop(
+            self._timers,
+            lambda: self._runner.in_flight + self._gateway.in_flight,
+            self._caller_server.stop_accepting,
+            self._on_stopped,
+        )
 
     # The target runner asks these.
 
@@ -138,7 +134,7 @@
             state = MemberState.JOINING
         elif announcement.is_leaving:
             state = MemberState.LEAVING
-        elif self._runner.is_ready:
+        elif self._runner.watch.is_ready:
             state = MemberState.READY
         else:
             state = MemberState.JOINING
@@ -288,23 +284,14 @@
             gossip_bytes_sent=lambda: self._peers.gossip.bytes_sent,
             in_flight=lambda: self._gateway.in_flight,
             at_target=lambda: self._runner.in_flight,
-            target_connections=lambda: self._runner.opened_connections,
+            target_connections=lambda: self._runner.watch.opened_connections,
             revision=lambda: self._state.revision,
             log_lines_dropped=flush_logs,
         )
 
     def _retry_budget(self) -> RetryBudget:
-        bounds = self._bounds
-        nodes = max(1, len(self._peers.members.live()))
-        extra = _BUDGET_SHARE * bounds.budget_extra / nodes
-        rules = BudgetRules(
-            deposit=_BUDGET_SHARE * bounds.retry_budget_ratio,
-            # One half may be spent at once, the other one as time passes.
-            start=extra / 2,
-            cap=extra / 2,
-            per_second=extra / 2 / bounds.budget_window_s,
-            refused_cost=0,
-        )
+        nodes = len(self._peers.members.live())
+        rules = shared_budget(self._bounds, nodes)
         return RetryBudget(rules, self._clock.now())
 
     # Lifecycle.
@@ -335,9 +322,7 @@
         self._log.info('reloaded', bounds=settings.bounds)
 
     def _leave(self) -> None:
-        """Begin the graceful shutdown; every request is still answered."""
-        self._log.info('leaving', in_flight=self._gateway.in_flight)
-        self._left_at = self._clock.now()
+        """Take no new work and begin the graceful shutdown."""
         self._acceptance.is_leaving = True
         self._feed_reader.is_stopped = True
         self._discovery.is_stopped = True
@@ -345,36 +330,16 @@
         self._runner.refuse_queue(ErrorKind.LEAVING)
         self._peers.members.restate(state=MemberState.LEAVING)
         self._peers.gossip_task.push()
-        self._timers.after(_LEAVE_GRACE, self._start_draining)
-
-    def _start_draining(self) -> None:
-        self._is_draining = True
-        self._timers.every(_DRAIN_PERIOD, self._check_drained)
-
-    def _check_drained(self) -> None:
-        in_flight = self._runner.in_flight + self._gateway.in_flight
-        left_at = self._left_at or 0
-        ends_at = left_at + self._bounds.grace_s - _GRACE_MARGIN
-        is_late = self._clock.now() >= ends_at
-        if in_flight and not is_late:
-            return
-        if self._closed_at is None:
-            # Nobody connects any more; what was accepted is answered.
-            self._closed_at = self._clock.now()
-            self._caller_server.stop_accepting()
-        has_lingered = self._clock.now() - self._closed_at > _LINGER
-        if not has_lingered and not is_late:
-            return
-        if in_flight:
-            self._log.error('drain timed out', in_flight=in_flight)
+        self._stop.begin(self._bounds.grace_s)
+
+    def _on_stopped(self) -> None:
         self._peers.members.restate(state=MemberState.GONE)
         self._peers.gossip_task.push()
-        self._log.info('stopped', in_flight=in_flight)
         flush_logs()
         self.stop()
 
     def _is_ready(self) -> bool:
-        if self._state.plan is None or self._left_at is not None:
+        if self._state.plan is None or self._stop.has_begun:
             return False
         has_waited = self._clock.now() - self._started_at > _MEET_SECONDS
         return has_waited or not self._discovery.is_alone
@@ -398,11 +363,11 @@
             self._runner.refuse_queue(ErrorKind.ZONE_OUT)
         elif self._was_zone_out and not is_out:
             # Targets may have turned cold while they had nothing to do.
-            self._runner.doubt_temperature()
+            self._runner.watch.doubt_temperature()
         self._was_zone_out = is_out
 
     def _on_caller(self, request: Request, reply: Reply) -> None:
-        if self._is_draining:
+        if self._stop.is_draining:
             # Callers use open connections until the process is gone.
             self._gateway.refuse(request, reply, ErrorKind.LEAVING)
             return
--- a/bluebellsill/target_runner.py
+++ b/bluebellsill/target_runner.py
@@ -3,19 +3,19 @@
 from __future__ import annotations
 
 from http import HTTPStatus
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import TYPE_CHECKING, Any
 
 from result import Err, Result
 
 from bluebellsill.admission import Admission, Decision, Gate, Ticket
 from bluebellsill.breaker import Breaker
 from bluebellsill.errors import ErrorKind
-from bluebellsill.http import Request, Response, end_to_end
-from bluebellsill.http_client import Exchange, HttpFailure
-from bluebellsill.logs import get_logger
+from bluebellsill.http import Request, Response
+from bluebellsill.http_client import HttpFailure
 from bluebellsill.measuring import Measuring
 from bluebellsill.messages import Answer, Call, Failure, Refusal
-from bluebellsill.resources import Service
+from bluebellsill.run_replies import RunReplies
+from bluebellsill.runs import Run, TargetOwner, ticket_of
 from bluebellsill.target_dialect import OwnDialect, TargetDialect
 from bluebellsill.target_watch import (
     OWN_WATCH_RULES,
@@ -23,6 +23,7 @@
     TargetWatch,
     WatchRules,
 )
+from bluebellsill.watch_events import WatchEvents
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -32,7 +33,7 @@
     from bluebellsill.reactor import Reactor
     from bluebellsill.timers import Timer
 
-__all__ = ('Run', 'TargetOwner', 'TargetRunner')
+__all__ = ('TargetRunner',)
 
 # The request's time was too short, or there was too much of a load.
 _NO_FAULT = frozenset(
@@ -40,44 +41,6 @@
 )
 
 
-class TargetOwner(Protocol):
-    """What the runner asks of the node that it is part of."""
-
-    def refusal(self) -> ErrorKind | None:
-        """Return why new work is refused at this node, if it is."""
-
-    def service_of(self, name: str) -> Service | None:
-        """Return a declared service."""
-
-    def on_target_changed(self) -> None:
-        """The target has come, is leaving or has gone."""
-
-    def on_crash(self, start_id: str, fingerprints: list[int]) -> None:
-        """A start of the target has crashed with requests in flight."""
-
-    def on_cleared(self, fingerprint: int) -> None:
-        """A suspected request has been answered."""
-
-
-class Run:
-    """One call at the target's node, from offer to answer."""
-
-    __slots__ = ('call', 'exchange', 'has_failed_below', 'respond', 'ticket')
-
-    def __init__(
-        self,
-        call: Call,
-        ticket: Ticket,
-        respond: Callable[[Answer | Refusal | Failure], None],
-    ) -> None:
-        """Create a run that responds once."""
-        self.call = call
-        self.ticket = ticket
-        self.respond = respond
-        self.exchange: Exchange | None = None
-        self.has_failed_below = False
-
-
 class TargetRunner:
     """Owns the connections to the target and everything that runs there."""
 
@@ -108,43 +71,34 @@
         self._clock = reactor.timers.clock
         self._owner = owner
         self._quarantine = quarantine
-        self._metrics = metrics
-        self._watch = TargetWatch(
+        self.breaker = Breaker()
+        self.watch = TargetWatch(
             reactor,
-            self,
+            WatchEvents(self, owner),
             metrics,
             self._dialect,
             rules,
         )
-        self._log = get_logger('runner')
         self._runs_by_ticket: dict[Ticket, Run] = {}
         self._start_timer: Timer | None = None
-        self._breaker = Breaker()
         self._measuring = Measuring(
             reactor.timers,
             self.gate,
-            self._watch.measure,
-            self._admit,
+            self.watch.measure,
+            self.admit,
+        )
+        self._replies = RunReplies(
+            self.gate,
+            self._measuring,
+            self.breaker,
+            metrics,
+            self._clock,
         )
 
     @property
     def announcement(self) -> Announcement | None:
         """The last word of the target, or None without one."""
-        return self._watch.announcement
-
-    @property
-    def is_ready(self) -> bool:
-        """Whether a target is there that wants work."""
-        return self._watch.is_ready
-
-    @property
-    def opened_connections(self) -> int:
-        """The number of connections opened to the present target so far."""
-        return self._watch.pool.opened if self._watch.pool else 0
-
-    def doubt_temperature(self) -> None:
-        """Take the target for cold until it says otherwise."""
-        self._watch.doubt_temperature()
+        return self.watch.announcement
 
     @property
     def in_flight(self) -> int:
@@ -153,40 +107,16 @@
 
     def announce(self, announcement: Announcement) -> None:
         """Take in a target's word."""
-        self._watch.announce(announcement)
-        self.gate.resize(announcement.slots or self._watch.service.slots)
+        self.watch.announce(announcement)
+        self.gate.resize(announcement.slots or self.watch.service.slots)
         if announcement.is_leaving:
             self.refuse_queue(ErrorKind.LEAVING)
 
-    # The watch asks these.
-
-    def service_of(self, name: str) -> Service | None:
-        """Return a declared service."""
-        return self._owner.service_of(name)
-
-    def on_target_cold(self) -> None:
-        """Start to ramp up again."""
-        self.gate.on_cold()
-        self._breaker.reset()
-
-    def on_target_temperature(self, cold_until: float) -> None:
-        """Bound the starts while the target is cold."""
-        self.gate.set_cold(cold_until, self._watch.service.cold_per_s)
-        self._admit()
-
     def on_probed(self, response: Response) -> None:
         """Take in what a probe's answer tells of the target's slowness."""
         self._measuring.observe(self._dialect.slowness(response))
         self._measuring.end()
 
-    def on_target_changed(self) -> None:
-        """Pass the news on."""
-        self._owner.on_target_changed()
-
-    def on_crash(self, start_id: str, fingerprints: list[int]) -> None:
-        """Pass a crash on."""
-        self._owner.on_crash(start_id, fingerprints)
-
     # Calls.
 
     def run(
@@ -206,15 +136,15 @@
         now = self._clock.now()
         kind = self._refusal(call, now)
         if kind is not None:
-            respond(self._refuse(call, kind))
+            respond(self._replies.refusal(call, kind))
             return None
-        ticket = _ticket(call, now)
+        ticket = ticket_of(call, now)
         run = Run(call, ticket, respond)
         decision, shed = self.gate.offer(ticket, now)
         if shed is not None:
             self._respond_refused(shed, ErrorKind.OVERLOADED)
         if decision is Decision.REFUSE:
-            respond(self._refuse(call, ErrorKind.OVERLOADED, ticket))
+            respond(self._replies.refusal(call, ErrorKind.OVERLOADED, ticket))
             return None
         self._runs_by_ticket[ticket] = run
         if decision is Decision.RUN:
@@ -270,75 +200,49 @@
 
     def close(self) -> None:
         """Close every connection to the target."""
-        self._watch.close()
+        self.watch.close()
 
     def document(self) -> dict[str, Any]:
         """Return the state of the target as JSON types."""
         announcement = self.announcement
         return {
             'service': announcement.service if announcement else '',
-            'is_ready': self._watch.is_ready,
+            'is_ready': self.watch.is_ready,
             'in_flight': self.gate.in_flight,
             'waiting': self.gate.load - self.gate.in_flight,
             'limit': self.gate.limit,
         }
 
     def _refusal(self, call: Call, now: float) -> ErrorKind | None:
-        announcement = self.announcement
-        if announcement is None or announcement.service != call.service:
-            return ErrorKind.NO_TARGET
-        if announcement.is_leaving:
-            return ErrorKind.LEAVING
-        if not self._watch.is_ready:
-            return ErrorKind.NO_TARGET
+        kind = self._absence(call)
+        if kind is not None:
+            return kind
         if self._quarantine.is_refused(call.fingerprint, now):
             return ErrorKind.QUARANTINED
         if call.budget_ms <= 0:
             return ErrorKind.EXPIRED
         kind = self._owner.refusal()
-        if kind is None and not self._breaker.lets_through(now):
+        if kind is None and not self.breaker.lets_through(now):
             return ErrorKind.TARGET_FAILING
         return kind
 
-    def _refuse(
-        self,
-        call: Call,
-        kind: ErrorKind,
-        ticket: Ticket | None = None,
-        *,
-        has_arrived: bool = False,
-    ) -> Refusal:
-        self._metrics.counts[f'refused_{kind.value}'] += 1
-        retry_after = ticket.retry_after if ticket else 0
-        self._log.info(
-            'refused',
-            correlation=call.correlation,
-            kind=kind.value,
-            in_flight=self.gate.in_flight,
-            load=self.gate.load,
-            limit=self.gate.limit,
-            retry_after_ms=int(retry_after * 1000),
-            by_target=has_arrived,
-        )
-        return Refusal(
-            call.id,
-            kind.value,
-            self.gate.load,
-            self.gate.limit,
-            int(retry_after * 1000),
-            has_arrived,
-            self._measuring.slowness,
-            self._breaker.share(self._clock.now()),
-        )
+    def _absence(self, call: Call) -> ErrorKind | None:
+        """Return why there is no target for a call, if there is none."""
+        announcement = self.announcement
+        if announcement is None or announcement.service != call.service:
+            return ErrorKind.NO_TARGET
+        if announcement.is_leaving:
+            return ErrorKind.LEAVING
+        return None if self.watch.is_ready else ErrorKind.NO_TARGET
 
     def _respond_refused(self, ticket: Ticket, kind: ErrorKind) -> None:
         run = self._runs_by_ticket.pop(ticket, None)
         if run is not None:
-            run.respond(self._refuse(run.call, kind, ticket))
+            run.respond(self._replies.refusal(run.call, kind, ticket))
 
     def _dispatch(self, run: Run) -> None:
         call = run.call
-        pool = self._watch.pool
+        pool = self.watch.pool
         announcement = self.announcement
         timeout = run.ticket.expires_at - self._clock.now()
         if pool is None or announcement is None or timeout <= 0:
@@ -346,7 +250,7 @@
             kind = ErrorKind.EXPIRED if is_late else ErrorKind.NO_TARGET
             self._runs_by_ticket.pop(run.ticket, None)
             self._free(run.ticket)
-            run.respond(self._refuse(call, kind))
+            run.respond(self._replies.refusal(call, kind))
             return
         headers = self._dialect.headers(call, timeout, announcement)
         request = Request(call.method, call.path, headers, call.body)
@@ -371,41 +275,40 @@
 
     def _on_answered(self, run: Run, response: Response) -> None:
         call = run.call
-        self._watch.on_answer()
+        self.watch.on_answer()
         self._measuring.observe(self._dialect.slowness(response))
         rejection = self._dialect.rejection(response)
         if rejection is not None:
             if rejection is not ErrorKind.OVERLOADED:
-                self._watch.check_soon()
-            run.respond(self._refuse(call, rejection, has_arrived=True))
+                self.watch.check_soon()
+            refusal = self._replies.refusal(call, rejection, has_arrived=True)
+            run.respond(refusal)
             return
-        is_error = response.status >= HTTPStatus.INTERNAL_SERVER_ERROR
-        has_failed_below = run.has_failed_below and is_error
-        now = self._clock.now()
-        if not has_failed_below and response.status not in _NO_FAULT:
-            self._note_outcome(is_failure=is_error)
-        if not is_error:
-            self.gate.on_answer(run.ticket, now)
-        elif response.status == HTTPStatus.SERVICE_UNAVAILABLE:
-            # What a service below sheds says nothing of this target.
-            if not has_failed_below:
-                self.gate.on_shed()
+        has_failed_below = run.has_failed_below and _is_error(response)
+        # What a service below sheds says nothing of this target.
+        if not has_failed_below:
+            self._learn(run.ticket, response)
         if self._quarantine.on_answer(call.fingerprint):
             self._owner.on_cleared(call.fingerprint)
         run.respond(
-            Answer(
-                call.id,
-                response.status,
-                end_to_end(response.headers),
-                response.body,
-                self.gate.load - 1,
-                self.gate.limit,
-                has_failed_below,
-                self._measuring.slowness,
-                self._breaker.share(now),
+            self._replies.answer(
+                call,
+                response,
+                has_failed_below=has_failed_below,
             ),
         )
 
+    def _learn(self, ticket: Ticket, response: Response) -> None:
+        """Take in what an answer says of how the target does."""
+        now = self._clock.now()
+        if not _is_error(response):
+            self.breaker.on_success(now)
+            self.gate.on_answer(ticket, now)
+        elif response.status not in _NO_FAULT:
+            self.breaker.on_failure(now)
+        if response.status == HTTPStatus.SERVICE_UNAVAILABLE:
+            self.gate.on_shed()
+
     def _on_failed(self, run: Run, failure: HttpFailure) -> None:
         call = run.call
         if failure.is_timeout:
@@ -414,14 +317,14 @@
             return
         if not failure.is_sent:
             # The connection was never established, so nothing ran.
-            self._watch.check_soon()
-            run.respond(self._refuse(call, ErrorKind.NO_TARGET))
+            self.watch.check_soon()
+            run.respond(self._replies.refusal(call, ErrorKind.NO_TARGET))
             return
-        self._note_outcome(is_failure=True)
+        self.breaker.on_failure(self._clock.now())
         running = [one.call.fingerprint for one in self._running_with(run)]
         self.gate.on_shed()
         # The answer waits until the other nodes have been told of a crash.
-        self._watch.on_loss(
+        self.watch.on_loss(
             running,
             lambda has_crashed: run.respond(
                 Failure(call.id, ErrorKind.TARGET_FAILED.value, has_crashed),
@@ -438,9 +341,10 @@
 
     def _free(self, ticket: Ticket) -> None:
         self.gate.finish(ticket)
-        self._admit()
+        self.admit()
 
-    def _admit(self) -> None:
+    def admit(self) -> None:
+        """Start what may start now, and see to it that the rest may."""
         now = self._clock.now()
         for admitted in self.gate.admit(now):
             self._dispatch(self._runs_by_ticket[admitted])
@@ -455,31 +359,12 @@
             return
         if self._start_timer is not None:
             self._start_timer.cancel()
-        self._start_timer = self._reactor.timers.after(wait, self._admit)
-
-    def _note_outcome(self, *, is_failure: bool) -> None:
-        was_open = self._breaker.is_open
-        now = self._clock.now()
-        if is_failure:
-            self._breaker.on_failure(now)
-        else:
-            self._breaker.on_success(now)
-        if self._breaker.is_open != was_open:
-            self._log.warning(
-                'breaker opened' if not was_open else 'breaker closed',
-                failing=round(self._breaker.share(now), 2),
-            )
+        self._start_timer = self._reactor.timers.after(wait, self.admit)
 
     def _expire_queue(self) -> None:
         for ticket in self.gate.expire(self._clock.now()):
             self._respond_refused(ticket, ErrorKind.OVERLOADED)
 
 
-def _ticket(call: Call, now: float) -> Ticket:
-    ticket = Ticket(call.priority, now + call.budget_ms / 1000)
-    if call.target_latency_ms:
-        ticket.wanted_at = now + call.target_latency_ms / 1000
-    ticket.route = call.route
-    ticket.is_inner = call.is_inner
-    ticket.may_wait = call.may_wait
-    return ticket
+def _is_error(response: Response) -> bool:
+    return response.status >= HTTPStatus.INTERNAL_SERVER_ERROR
--- a/bluebellsill/target_watch.py
+++ b/bluebellsill/target_watch.py
@@ -156,6 +156,11 @@
         name = self.announcement.service if self.announcement else ''
         return self._owner.service_of(name) or Service()
 
+    @property
+    def opened_connections(self) -> int:
+        """The number of connections opened to the present target so far."""
+        return self.pool.opened if self.pool else 0
+
     def announce(self, announcement: Announcement) -> None:
         """Take in a target's word."""
         known = self.announcement
--- a/tests/node_session.py
+++ b/tests/node_session.py
@@ -43,8 +43,9 @@
 from bluebellsill.quarantine import Quarantine
 from bluebellsill.resources import OUTSIDE, Kind, Service
 from bluebellsill.retries import RetryBudget
+from bluebellsill.runs import Run
 from bluebellsill.streams import Address
-from bluebellsill.target_runner import Run, TargetRunner
+from bluebellsill.target_runner import TargetRunner
 from bluebellsill.target_watch import Announcement
 from bluebellsill.timers import TimerService
 from tests.played import PlayedReply, PlayedStream, shown
