--- a/bluebellsill/admission.py
+++ b/bluebellsill/admission.py
@@ -209,9 +209,8 @@
         self._queue = []
         return dropped
 
-    def next_start(self, now: float) -> float | None:
+    def next_start(self, now: float) -> None:
         """Return None: whatever waits, waits for a slot."""
-        return None
 
     def on_answer(self, ticket: Ticket, now: float) -> None:
         """Take in a whole answer."""
--- a/bluebellsill/discovery.py
+++ b/bluebellsill/discovery.py
@@ -29,6 +29,7 @@
 _MAX_BACKOFF = 4.0  # seconds
 _MEETINGS = 3  # strangers that are asked at once
 _RENEWALS = 3  # in the lifetime of an entry
+_EARLIEST = 0.75  # of a period; spreads the looks of nodes that began together
 
 
 class Discovery:
@@ -136,7 +137,9 @@
             period = _CHECK_PERIOD
         else:
             period = _IDLE_PERIOD
-        self._timers.after(period * self._random.uniform(0.75, 1), self._look)
+        self._timers.after(
+            period * self._random.uniform(_EARLIEST, 1), self._look
+        )
 
     def _renew(self) -> None:
         if self._is_registered and not self.is_stopped:
--- a/bluebellsill/dispatch.py
+++ b/bluebellsill/dispatch.py
@@ -168,21 +168,21 @@
             failing: The share of its answers that failed of late.
         """
         view = self._end_try()
-        now = self._clock.now()
         self._sends += has_arrived
         if retry_after:
             soonest = self._retry_after or retry_after
             self._retry_after = min(soonest, retry_after)
-        is_asked = kind is ErrorKind.OVERLOADED and not self._may_wait
-        if is_asked and view is not None and not has_arrived:
-            self._waits_by_node[view.id] = retry_after
         if view is not None:
+            now = self._clock.now()
             view.on_report(max(load, limit), limit, now)
             view.on_state(slowness, failing, now)
-            if kind is not ErrorKind.OVERLOADED:
-                view.on_failure(now)
-            elif has_arrived:
-                view.on_error_status(now)
+            view.on_refusal(
+                now,
+                is_full=kind is ErrorKind.OVERLOADED,
+                has_arrived=has_arrived,
+            )
+            if not self._may_wait and kind is ErrorKind.OVERLOADED:
+                self._waits_by_node[view.id] = retry_after
         problem = Problem(kind, f'refused by {self._tried[-1]}')
         if not ANSWERS_BY_KIND[kind].is_retryable_elsewhere:
             return self._final(problem)
--- a/bluebellsill/line_writer.py
+++ b/bluebellsill/line_writer.py
@@ -29,7 +29,7 @@
         if len(self._lines) >= _MAX_LINES:
             self.dropped += 1
             return
-        self._lines.append(line.encode() + b'\n')
+        self._lines.append(f'{line}\n'.encode())
         self.flush()
 
     def flush(self) -> None:
--- a/bluebellsill/logs.py
+++ b/bluebellsill/logs.py
@@ -44,8 +44,9 @@
     def __init__(self) -> None:
         self.fields: dict[str, str] = {}
 
-    def __call__(self, _: Any, __: str, event: EventDict) -> EventDict:
-        """Add the fields."""
+    def __call__(self, *arguments: Any) -> EventDict:
+        """Add the fields; the last argument is the event."""
+        event: EventDict = arguments[-1]
         return {**self.fields, **event}
 
 
@@ -57,8 +58,9 @@
         self._lines: Counter[str] = Counter()
         self._left_out: Counter[str] = Counter()
 
-    def __call__(self, _: Any, __: str, event: EventDict) -> EventDict:
-        """Pass an event on, or drop it and say so with a later one."""
+    def __call__(self, *arguments: Any) -> EventDict:
+        """Pass the last argument on, or drop it and say so later."""
+        event: EventDict = arguments[-1]
         second = int(monotonic())
         if second != self._second:
             self._second = second
--- a/bluebellsill/node_directory.py
+++ b/bluebellsill/node_directory.py
@@ -5,12 +5,12 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
+from result import Result
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from result import Result
-
-__all__ = ('DirectoryEntry', 'DirectoryFailure', 'NodeDirectory')
+__all__ = ('DirectoryEntry', 'DirectoryFailure', 'Listing', 'NodeDirectory')
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,14 +33,15 @@
     reason: str
 
 
+Listing = Result[list[DirectoryEntry], DirectoryFailure]
+
+
 class NodeDirectory(Protocol):
     """Lists and registers nodes."""
 
     def list_nodes(
         self,
-        on_done: Callable[
-            [Result[list[DirectoryEntry], DirectoryFailure]], None
-        ],
+        on_done: Callable[[Listing], None],
     ) -> None:
         """List the entries; they may be some seconds old."""
 
--- a/bluebellsill/peer_stack.py
+++ b/bluebellsill/peer_stack.py
@@ -90,9 +90,9 @@
             self._hello,
             self.gossip_task.suspect,
         )
-        self.spread = RevisionSpread(replica, self.links)
-        self.gossip_task.on_revision = self.spread.on_heard
-        self.server.on(RevisionRequest, self.spread.on_request)
+        spread = RevisionSpread(replica, self.links)
+        self.gossip_task.on_revision = spread.on_heard
+        self.server.on(RevisionRequest, spread.on_request)
 
     def _hello(self) -> Hello:
         own = self.members.own
--- a/bluebellsill/platform/endpoints.py
+++ b/bluebellsill/platform/endpoints.py
@@ -31,6 +31,7 @@
 READY_PATH = '/ready'
 REPORT_PREFIX = '/instances/'
 _SECOND = 1000  # milliseconds
+_MAX_SLOTS = 100000  # beyond any server; keeps a wrong report out
 _LEAVING = 'draining'
 _TEXT = ('content-type', 'text/plain; version=0.0.4')
 
@@ -41,7 +42,7 @@
     service: str
     version: str
     zone: str
-    slots: Annotated[int, Meta(ge=1, le=100000)]
+    slots: Annotated[int, Meta(ge=1, le=_MAX_SLOTS)]
 
 
 class _Status(Struct, frozen=True):
@@ -101,9 +102,13 @@
         """Acknowledge a report, or refuse one that names no target."""
         path = request.path.partition('?')[0]
         name = path.removeprefix(REPORT_PREFIX)
-        if name == path or not name:
+        if path.startswith(REPORT_PREFIX) and name:
+            self._serve(name, request, reply)
+        else:
             reply.send(Response(HTTPStatus.NOT_FOUND))
-        elif request.method == 'PUT':
+
+    def _serve(self, name: str, request: Request, reply: Reply) -> None:
+        if request.method == 'PUT':
             self._take(name, request.body, reply)
         elif request.method == 'DELETE':
             self._leave(name, request.body, reply)
@@ -148,12 +153,17 @@
 
     def handle(self, request: Request, reply: Reply) -> None:
         """Answer 200 or 503."""
-        if request.path != READY_PATH:
-            reply.send(Response(HTTPStatus.NOT_FOUND))
-        elif self._is_ready():
-            reply.send(Response(HTTPStatus.OK))
+        if request.path == READY_PATH:
+            is_ready = self._is_ready()
+            reply.send(
+                Response(
+                    HTTPStatus.OK
+                    if is_ready
+                    else HTTPStatus.SERVICE_UNAVAILABLE,
+                ),
+            )
         else:
-            reply.send(Response(HTTPStatus.SERVICE_UNAVAILABLE))
+            reply.send(Response(HTTPStatus.NOT_FOUND))
 
 
 class MetricsApi:
--- a/bluebellsill/platform/kv_store.py
+++ b/bluebellsill/platform/kv_store.py
@@ -40,6 +40,7 @@
 _CALL_TIMEOUT = 1.5  # seconds; the store answers in 4 ms, 50 times that slow
 _WATCH_MARGIN = 1.0  # seconds beyond a watch's own wait
 _MILLISECONDS = 1000  # in a second
+_SHOWN = 64  # bytes of an answer that cannot be read
 
 RANGE_PATH = '/kv-range'
 WATCH_PATH = '/kv-watch'
@@ -297,5 +298,5 @@
     try:
         return Ok(json.decode(response.body, type=answer_type))
     except DecodeError as error:
-        reason = f'store sent {response.body[:64]!r}: {error}'
+        reason = f'store sent {response.body[:_SHOWN]!r}: {error}'
         return Err(KvFailure(reason, response.status, may_have_run=True))
--- a/bluebellsill/platform/node_keys.py
+++ b/bluebellsill/platform/node_keys.py
@@ -15,6 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from bluebellsill.node_directory import Listing
     from bluebellsill.platform.kv_store import (
         Item,
         ItemPage,
@@ -45,9 +46,7 @@
 
     def list_nodes(
         self,
-        on_done: Callable[
-            [Result[list[DirectoryEntry], DirectoryFailure]], None
-        ],
+        on_done: Callable[[Listing], None],
     ) -> None:
         """List the first page of entries; it may be some seconds old."""
 
--- a/bluebellsill/platform/routing_document.py
+++ b/bluebellsill/platform/routing_document.py
@@ -121,9 +121,10 @@
         for host in document.virtual_hosts
         for rule in host.path_rules
     ]
-    for host, prefix, rule in rules:
-        if not rule.parts():
-            return Err(f'route {rule.name!r} at {host}{prefix} has no service')
+    for at_host, at_prefix, one in rules:
+        if not one.parts():
+            place = f'{at_host}{at_prefix}'
+            return Err(f'route {one.name!r} at {place} has no service')
     return Ok(
         RoutingPlan(
             int(document.version.removeprefix(_VERSION_TAG)),
--- a/bluebellsill/route_table.py
+++ b/bluebellsill/route_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from itertools import chain
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -51,9 +52,7 @@
 
     def services(self) -> set[str]:
         """Return the names of all services that routes lead to."""
-        return {
-            part.service
-            for by_prefix in self._by_host.values()
-            for route in by_prefix.values()
-            for part in route.parts
-        }
+        routes = chain.from_iterable(
+            by_prefix.values() for by_prefix in self._by_host.values()
+        )
+        return {part.service for route in routes for part in route.parts}
--- a/bluebellsill/slot_gate.py
+++ b/bluebellsill/slot_gate.py
@@ -108,7 +108,9 @@
         admitted: list[Ticket] = []
         if not self.slowness.is_fresh(now):
             return admitted
-        self._queue.sort(key=lambda ticket: self._order(ticket, now))
+        self._queue.sort(
+            key=lambda ticket: _order(ticket, self._work(ticket), now),
+        )
         for ticket in tuple(self._queue):
             if not self._may_start(now):
                 break
@@ -166,14 +168,15 @@
 
     def expected_wait(self, ticket: Ticket, now: float) -> float:
         """Return the seconds until a call would get a slot."""
-        free = [0.0 for _ in range(self.limit - len(self._running))]
-        free += [self._left(one, now) for one in self._running]
+        free = [float() for _ in range(self.limit - len(self._running))]
+        free += [_left(one, self._work(one), now) for one in self._running]
         heapify(free)
-        mine = self._order(ticket, now)
+        mine = _order(ticket, self._work(ticket), now)
+        delay = self.slowness.usual_delay
         for waiting in self._queue:
-            if waiting is not ticket and self._order(waiting, now) <= mine:
-                delay = self.slowness.usual_delay
-                heapreplace(free, free[0] + self._work(waiting) + delay)
+            work = self._work(waiting)
+            if waiting is not ticket and _order(waiting, work, now) <= mine:
+                heapreplace(free, free[0] + work + delay)
         wait = max(free[0], self.pace.wait(now))
         if self.slowness.gains_by_waiting(self._work(ticket)):
             wait = max(wait, self.slowness.spell)
@@ -238,11 +241,6 @@
     def _work(self, ticket: Ticket) -> float:
         return self._times.expected(ticket.route) or _FIRST_WORK
 
-    def _left(self, ticket: Ticket, now: float) -> float:
-        usual = self._work(ticket) * ticket.slowness
-        left = ticket.started_at + usual - now
-        return left if left > 0 else usual * _OVERRUN
-
     def _start(self, ticket: Ticket, now: float) -> None:
         ticket.started_at = now
         ticket.slowness = self.slowness.factor
@@ -250,11 +248,20 @@
         self._running.add(ticket)
         ticket.level = len(self._running)
 
-    def _order(
-        self,
-        ticket: Ticket,
-        now: float,
-    ) -> tuple[bool, bool, int, float]:
-        wanted_at = ticket.wanted_at or ticket.expires_at
-        is_late = now + self._work(ticket) > wanted_at
-        return not ticket.is_inner, is_late, -ticket.priority, wanted_at
+
+def _left(ticket: Ticket, work: float, now: float) -> float:
+    """Return the seconds that a running call still needs."""
+    usual = work * ticket.slowness
+    left = ticket.started_at + usual - now
+    return left if left > 0 else usual * _OVERRUN
+
+
+def _order(
+    ticket: Ticket,
+    work: float,
+    now: float,
+) -> tuple[bool, bool, int, float]:
+    """Return the place of a waiting call; lower ones go first."""
+    wanted_at = ticket.wanted_at or ticket.expires_at
+    is_late = now + work > wanted_at
+    return not ticket.is_inner, is_late, -ticket.priority, wanted_at
--- a/bluebellsill/target_dialect.py
+++ b/bluebellsill/target_dialect.py
@@ -83,9 +83,8 @@
             ('bluebellsill-correlation', call.correlation),
         ]
 
-    def rejection(self, response: Response) -> ErrorKind | None:
+    def rejection(self, response: Response) -> None:
         """Return None: a target that sheds may have begun to run."""
-        return None
 
     def health(self, response: Response) -> TargetHealth:
         """Return that the target serves; its health reports may lie."""
--- a/bluebellsill/target_runner.py
+++ b/bluebellsill/target_runner.py
@@ -202,6 +202,15 @@
         """Close every connection to the target."""
         self.watch.close()
 
+    def admit(self) -> None:
+        """Start what may start now, and see to it that the rest may."""
+        now = self._clock.now()
+        for admitted in self.gate.admit(now):
+            self._dispatch(self._runs_by_ticket[admitted])
+        self._expire_queue()
+        self._wake_for_start(now)
+        self._measuring.start()
+
     def document(self) -> dict[str, Any]:
         """Return the state of the target as JSON types."""
         announcement = self.announcement
@@ -343,15 +352,6 @@
         self.gate.finish(ticket)
         self.admit()
 
-    def admit(self) -> None:
-        """Start what may start now, and see to it that the rest may."""
-        now = self._clock.now()
-        for admitted in self.gate.admit(now):
-            self._dispatch(self._runs_by_ticket[admitted])
-        self._expire_queue()
-        self._wake_for_start(now)
-        self._measuring.start()
-
     def _wake_for_start(self, now: float) -> None:
         """Look again once a cold target may be given a waiting call."""
         wait = self.gate.next_start(now)
--- a/bluebellsill/target_view.py
+++ b/bluebellsill/target_view.py
@@ -129,6 +129,26 @@
         else:
             self.failures = 1
 
+    def on_refusal(
+        self,
+        now: float,
+        *,
+        is_full: bool,
+        has_arrived: bool,
+    ) -> None:
+        """Avoid the target unless it has no room for a moment only.
+
+        Args:
+            now: The time in seconds.
+            is_full: Whether it has no room.
+            has_arrived: Whether the target itself refused; its node should
+                have known, so once may be chance and twice is not.
+        """
+        if not is_full:
+            self.on_failure(now)
+        elif has_arrived:
+            self.on_error_status(now)
+
     def on_failure(self, now: float) -> None:
         """Avoid the target for a time that doubles with each failure."""
         penalty = min(_MAX_PENALTY, _FIRST_PENALTY * 2**self.failures)
--- a/bluebellsill/weights.py
+++ b/bluebellsill/weights.py
@@ -36,7 +36,7 @@
         key = (route.name, parts)
         credit = self._credit_by_route.get(key)
         if credit is None:
-            credit = [0.0 for _ in parts]
+            credit = [float() for _ in parts]
             self._credit_by_route[key] = credit
             total = sum(part.weight for part in parts)
             for _ in range(self._random.randrange(total)):
@@ -44,8 +44,9 @@
         return parts[self._advance(parts, credit)].service
 
     def _advance(self, parts: tuple[Part, ...], credit: list[float]) -> int:
-        for index, part in enumerate(parts):
-            credit[index] += part.weight
+        weights = [part.weight for part in parts]
+        for index, weight in enumerate(weights):
+            credit[index] += weight
         chosen = max(range(len(parts)), key=credit.__getitem__)
-        credit[chosen] -= sum(part.weight for part in parts)
+        credit[chosen] -= sum(weights)
         return chosen
