--- a/bluebellsill/calls.py
+++ b/bluebellsill/calls.py
@@ -7,6 +7,7 @@
 from bluebellsill.dispatch import Dispatch, Place
 from bluebellsill.errors import ErrorKind, Problem
 from bluebellsill.http import Headers, Response
+from bluebellsill.logs import get_logger
 from bluebellsill.messages import Answer, Call, Cancel, Failure, Refusal
 from bluebellsill.peers import LinkLost, PeerLinks
 from bluebellsill.resources import OUTSIDE
@@ -52,6 +53,7 @@
             on_done: Called once with the outcome.
         """
         self.dispatch = dispatch
+        self._log = get_logger('calls')
         self._inbound = inbound
         self._links = links
         self._runner = runner
@@ -205,8 +207,30 @@
     def _finish(self, outcome: Response | Problem) -> None:
         on_done = self._on_done
         self._on_done = None
-        if on_done is not None:
-            on_done(outcome)
+        if on_done is None:
+            return
+        self._log_end(outcome)
+        on_done(outcome)
+
+    def _log_end(self, outcome: Response | Problem) -> None:
+        inbound = self._inbound
+        seconds = self._links.now() - inbound.received_at
+        fields = {
+            'correlation': inbound.correlation,
+            'service': inbound.service_name,
+            'tried': self.dispatch.tried,
+            'after_ms': int(seconds * 1000),
+        }
+        if isinstance(outcome, Response):
+            self._log.info('call answered', status=outcome.status, **fields)
+        else:
+            self._log.info(
+                'call not answered',
+                kind=outcome.kind.value,
+                may_have_run=self.dispatch.may_have_run,
+                retry_after=outcome.retry_after,
+                **fields,
+            )
 
 
 def _kind(text: str) -> ErrorKind:
--- a/bluebellsill/dispatch.py
+++ b/bluebellsill/dispatch.py
@@ -92,6 +92,11 @@
         self._crashes = 0
         self.may_have_run = False
 
+    @property
+    def tried(self) -> tuple[str, ...]:
+        """The nodes that were asked, in order."""
+        return tuple(self._tried)
+
     def start(self) -> Place | Problem:
         """Choose the first target."""
         self._budget.on_time(self._clock.now())
