Let a restarted node ask for its target and its configuration at once

Change: a node that is not started for the first time reads at once, and probes its target; an answer that it is healthy, by its name, counts until the target reports itself. One that leaves answers 503 and is not used.

--- a/bluebellsill/discovery.py
+++ b/bluebellsill/discovery.py
@@ -68,10 +68,14 @@
         self._failures = 0
         self._log = get_logger('discovery')
 
-    def start(self) -> None:
-        """Look for other nodes soon."""
+    def start(self, *, hurries: bool = False) -> None:
+        """Look for other nodes soon.
+
+        Args:
+            hurries: Whether callers wait, so that calls are not spread.
+        """
         delay = self._random.uniform(0, _FIRST_SPREAD)
-        self._timers.after(delay, self._look)
+        self._timers.after(0 if hurries else delay, self._look)
         self._timers.every(self._renew_period, self._renew)
 
     @property
--- a/bluebellsill/feed_reader.py
+++ b/bluebellsill/feed_reader.py
@@ -65,9 +65,15 @@
         self._started_at = timers.clock.now()
         self._log = get_logger('feed')
 
-    def start(self) -> None:
-        """Look from time to time whether this node is to read."""
+    def start(self, *, hurries: bool = False) -> None:
+        """Look from time to time whether this node is to read.
+
+        Args:
+            hurries: Whether callers wait, so that it looks at once.
+        """
         self._timers.every(_CHECK_PERIOD, self._check)
+        if hurries:
+            self._check()
 
     @property
     def is_reader(self) -> bool:
--- a/bluebellsill/mesh_node.py
+++ b/bluebellsill/mesh_node.py
@@ -48,7 +48,7 @@
 from bluebellsill.streams import Address
 from bluebellsill.target_lives import Departure, TargetLives, TargetReport
 from bluebellsill.target_runner import TargetRunner
-from bluebellsill.target_watch import WatchRules
+from bluebellsill.target_watch import Announcement, WatchRules
 from bluebellsill.timers import TimerService
 from bluebellsill.weights import WeightedTurns
 
@@ -310,8 +310,9 @@
             is_first_start=self._settings.node.is_first_start,
         )
         self._timers.every(_LOG_PERIOD, _flush)
-        self._discovery.start()
-        self._feed_reader.start()
+        is_first = self._settings.node.is_first_start
+        self._discovery.start(hurries=not is_first)
+        self._feed_reader.start(hurries=not is_first)
         self._peers.gossip_task.tick()
 
     def _on_reload(self) -> None:
@@ -365,6 +366,15 @@
             # Targets may have turned cold while they had nothing to do.
             self._runner.watch.doubt_temperature()
         self._was_zone_out = is_out
+        if not self._settings.node.is_first_start:
+            self._look_for_target()
+
+    def _look_for_target(self) -> None:
+        """Ask for a target whose next report is still to come."""
+        target = self._settings.target
+        self._runner.watch.look_for(
+            Announcement(target.service, target.address, ''),
+        )
 
     def _on_caller(self, request: Request, reply: Reply) -> None:
         if self._stop.is_draining:
--- a/bluebellsill/platform/targets.py
+++ b/bluebellsill/platform/targets.py
@@ -28,6 +28,9 @@
 _SECOND = 1000  # milliseconds
 _PERCENT = 100  # of the usual time
 _LOAD_FIGURES = 4  # running, waiting, slots, slowness
+_SLOTS_FIGURE = 2
+_SLOWNESS_FIGURE = 3
+_NO_LOAD = [0 for _ in range(_LOAD_FIGURES)]
 
 
 class PlatformDialect:
@@ -64,14 +67,22 @@
             response.header(TARGET_NAME),
             is_serving=response.status == HTTPStatus.OK,
             cold_seconds=int(cold_ms) / _SECOND if is_number else None,
+            slots=_load(response)[_SLOTS_FIGURE],
         )
 
     def slowness(self, response: Response) -> float | None:
-        """Return the fourth figure of the load, as a factor.
-
-        The others are the requests that run and wait, and the slots.
-        """
-        figures = response.header(LOAD).split(',')
-        if len(figures) != _LOAD_FIGURES or not figures[-1].isdecimal():
-            return None
-        return max(1, int(figures[-1])) / _PERCENT
+        """Return the last figure of the load, as a factor."""
+        percent = _load(response)[_SLOWNESS_FIGURE]
+        return percent / _PERCENT if percent else None
+
+
+def _load(response: Response) -> list[int]:
+    """Return what runs, what waits, the slots and the slowness in percent.
+
+    All are 0 where the target does not say.
+    """
+    figures = response.header(LOAD).split(',')
+    is_whole = len(figures) == _LOAD_FIGURES and all(
+        figure.isdecimal() for figure in figures
+    )
+    return [int(figure) for figure in figures] if is_whole else _NO_LOAD
--- a/bluebellsill/target_dialect.py
+++ b/bluebellsill/target_dialect.py
@@ -25,11 +25,13 @@
         name: Which target answers, empty if it is silent about that.
         is_serving: Whether it calls itself healthy and not leaving.
         cold_seconds: How long it stays cold, None if it does not say.
+        slots: The requests that it runs at a time, 0 if it does not say.
     """
 
     name: str
     is_serving: bool
     cold_seconds: float | None = None
+    slots: int = 0
 
 
 class TargetDialect(Protocol):
--- a/bluebellsill/target_watch.py
+++ b/bluebellsill/target_watch.py
@@ -50,6 +50,7 @@
         slots: The requests that it runs at a time, 0 if it does not say.
         cold_seconds: How long it stays cold, None if it does not say.
         name: What requests to it call it, where they do.
+        is_provisional: Whether a probe told this, and no report yet.
     """
 
     service: str
@@ -59,6 +60,7 @@
     slots: int = 0
     cold_seconds: float | None = None
     name: str = ''
+    is_provisional: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,6 +102,9 @@
     def on_probed(self, response: Response) -> None:
         """The target has answered a probe."""
 
+    def on_found(self, announcement: Announcement) -> None:
+        """A probe has found a target that has not reported yet."""
+
     def on_target_changed(self) -> None:
         """The target has come, is leaving or has gone."""
 
@@ -167,7 +172,9 @@
         now = self._clock.now()
         self._announced_at = now
         self.announcement = announcement
-        if known is None or known.start_id != announcement.start_id:
+        if _is_told_by_probe(known, announcement):
+            self.start_id = announcement.start_id
+        elif known is None or known.start_id != announcement.start_id:
             self._on_started(announcement)
         if announcement.cold_seconds is not None:
             self._set_cold(announcement.cold_seconds)
@@ -176,6 +183,26 @@
         if not was_ready or _differ(known, announcement):
             self._owner.on_target_changed()
 
+    def look_for(self, expected: Announcement) -> None:
+        """Ask whether a target is there that has not reported yet.
+
+        A node that was restarted would otherwise wait for the next report.
+
+        Args:
+            expected: The target's service and address.
+        """
+        service = self._owner.service_of(expected.service)
+        if self.announcement is not None or service is None:
+            return
+        rules = self._dialect.answer_rules
+        address = Address.parse(expected.address)
+        self._metrics.counts['probes'] += 1
+        HttpPool(self._reactor, address, rules).request(
+            Request('GET', service.health_path, [('host', expected.address)]),
+            _PROBE_TIMEOUT,
+            lambda done: self._on_looked(expected, done),
+        )
+
     def doubt_temperature(self) -> None:
         """Take the target for cold until it says otherwise."""
         if self.announcement is None:
@@ -295,6 +322,29 @@
         request = Request('GET', service.health_path, headers)
         self.pool.request(request, _PROBE_TIMEOUT, self._on_probed)
 
+    def _on_looked(
+        self,
+        expected: Announcement,
+        done: Result[Response, HttpFailure],
+    ) -> None:
+        if isinstance(done, Err) or self.announcement is not None:
+            return
+        health = self._dialect.health(done.ok_value)
+        # One that is leaving, or does not say who it is, reports itself.
+        if not health.is_serving or not health.name:
+            return
+        self._is_confirmed = True
+        self._owner.on_found(
+            replace(
+                expected,
+                name=health.name,
+                start_id=f'probed/{health.name}',
+                slots=health.slots,
+                cold_seconds=health.cold_seconds,
+                is_provisional=True,
+            ),
+        )
+
     def _on_probed(self, done: Result[Response, HttpFailure]) -> None:
         self._is_probing = False
         if not isinstance(done, Err):
@@ -363,3 +413,13 @@
         announcement,
         cold_seconds=None,
     )
+
+
+def _is_told_by_probe(
+    known: Announcement | None,
+    announcement: Announcement,
+) -> bool:
+    """Return whether a report is the first of a target that a probe found."""
+    if known is None or not known.is_provisional:
+        return False
+    return known.name == announcement.name
--- a/bluebellsill/watch_events.py
+++ b/bluebellsill/watch_events.py
@@ -9,6 +9,7 @@
     from bluebellsill.resources import Service
     from bluebellsill.runs import TargetOwner
     from bluebellsill.target_runner import TargetRunner
+    from bluebellsill.target_watch import Announcement
 
 __all__ = ('WatchEvents',)
 
@@ -40,6 +41,10 @@
         """Take in what a probe's answer tells of the target's slowness."""
         self._runner.on_probed(response)
 
+    def on_found(self, announcement: Announcement) -> None:
+        """Take a probe's word until the target reports itself."""
+        self._runner.announce(announcement)
+
     def on_target_changed(self) -> None:
         """Pass the news on."""
         self._owner.on_target_changed()
--- a/tests/test_target_watch.py
+++ b/tests/test_target_watch.py
@@ -11,6 +11,7 @@
 
 from bluebellsill._connect_check import HOLD
 from bluebellsill.clock import ManualClock
+from bluebellsill.http import Response
 from bluebellsill.metrics import Metrics
 from bluebellsill.reactor import Source
 from bluebellsill.resources import Service
@@ -43,6 +44,12 @@
     def on_target_temperature(self, cold_until: float) -> None:
         """Ignore what the target says of being cold."""
 
+    def on_probed(self, response: Response) -> None:
+        """Ignore what else a probe tells."""
+
+    def on_found(self, announcement: Announcement) -> None:
+        """Ignore a target that was looked for."""
+
     def on_crash(self, start_id: str, fingerprints: list[int]) -> None:
         """Note the fingerprints."""
         self.crashes.append(fingerprints)
