--- a/bluebellsill/discovery.py
+++ b/bluebellsill/discovery.py
@@ -27,7 +27,7 @@
 _CHECK_PERIOD = 10.0  # seconds between looks whether the entry is there
 _IDLE_PERIOD = 60.0  # seconds between looks without an entry of its own
 _MAX_BACKOFF = 4.0  # seconds
-_MEETINGS = 3  # strangers that are asked at once
+_MEETINGS = 8  # strangers that are asked at once
 _RENEWALS = 3  # in the lifetime of an entry
 _EARLIEST = 0.75  # of a period; spreads the looks of nodes that began together
 
--- a/bluebellsill/mesh_node.py
+++ b/bluebellsill/mesh_node.py
@@ -212,7 +212,7 @@
             self,
             self._quarantine,
             self._metrics,
-            SlotGate(),
+            SlotGate(self._bounds.cold_excess),
             PlatformDialect(),
             WatchRules(
                 announcement_lifetime=_REPORT_LIVES * period,
--- a/bluebellsill/slot_gate.py
+++ b/bluebellsill/slot_gate.py
@@ -35,8 +35,14 @@
     to be asked for its slowness.
     """
 
-    def __init__(self) -> None:
-        """Create the gate of a target that has not said anything."""
+    def __init__(self, cold_excess: float = 1) -> None:
+        """Create the gate of a target that has not said anything.
+
+        Args:
+            cold_excess: By what the rate may be exceeded that a cold target
+                states, where the platform allows more.
+        """
+        self._cold_excess = cold_excess
         self.pace = StartPace()
         self.slowness = Slowness()
         self._crowding = Crowding(1)
@@ -205,7 +211,7 @@
             per_second: The requests a second that it bears until then.
         """
         self.pace.cold_until = cold_until
-        self.pace.per_second = per_second
+        self.pace.per_second = self._cold_excess * per_second
 
     def resize(self, slots: int) -> None:
         """Set how many requests the target runs at a time."""
