--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,12 @@
 DEPLOYMENT ?= attica
+MODE ?= own
+DEMO_own := demo
+DEMO_platform := demo.mesh
+FIRST ?= $(shell date +%j%H%M)
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup demo test check experiments format clean
+.PHONY: setup demo soak test check experiments format clean
 setup: $(VENV)/.stamp
 
 $(VENV)/.stamp: pyproject.toml
@@ -11,7 +15,11 @@
 	touch $@
 
 demo: setup
-	$(BIN)/python -m demo --deployment deployments/$(DEPLOYMENT).toml
+	$(BIN)/python -m $(DEMO_$(MODE)) --deployment deployments/$(DEPLOYMENT).toml
+
+# Minutes of fresh seeds; python -m tests.soak --help has the options.
+soak: setup
+	$(BIN)/python -m tests.soak --first $(FIRST) --seeds 5
 
 test: setup
 	$(BIN)/python -m tests
--- a/bluebellsill/platform/operator_keys.py
+++ b/bluebellsill/platform/operator_keys.py
@@ -29,11 +29,11 @@
         KvStore,
     )
 
-__all__ = ('OperatorKeys',)
+__all__ = ('DOCUMENT_KEY', 'ZONE_PREFIX', 'OperatorKeys')
 
 _PREFIX = 'op/'
-_DOCUMENT_KEY = 'op/config'
-_ZONE_PREFIX = 'op/evacuate/'
+DOCUMENT_KEY = 'op/config'
+ZONE_PREFIX = 'op/evacuate/'
 
 
 class OperatorKeys:
@@ -92,10 +92,10 @@
     document = b''
     zones: list[str] = []
     for item in items:
-        if item.key == _DOCUMENT_KEY:
+        if item.key == DOCUMENT_KEY:
             document = item.value
-        elif item.key.startswith(_ZONE_PREFIX):
-            zones.append(item.key.removeprefix(_ZONE_PREFIX))
+        elif item.key.startswith(ZONE_PREFIX):
+            zones.append(item.key.removeprefix(ZONE_PREFIX))
     return FeedSnapshot(revision, document, tuple(sorted(zones)))
 
 
@@ -109,10 +109,10 @@
 
 
 def _change(event: ItemEvent) -> FeedChange | None:
-    if event.key.startswith(_ZONE_PREFIX):
-        zone = event.key.removeprefix(_ZONE_PREFIX)
+    if event.key.startswith(ZONE_PREFIX):
+        zone = event.key.removeprefix(ZONE_PREFIX)
         return ZoneWritten(event.revision, zone, is_out=not event.deleted)
-    if event.key == _DOCUMENT_KEY and event.value is not UNSET:
+    if event.key == DOCUMENT_KEY and event.value is not UNSET:
         return DocumentWritten(event.revision, event.value)
     return None
 
--- a/bluebellsill/platform/routing_document.py
+++ b/bluebellsill/platform/routing_document.py
@@ -12,7 +12,10 @@
 from bluebellsill.route_table import RouteTable
 from bluebellsill.routing_plan import CallerLimits, RoutingPlan
 
-__all__ = ('decode_plan',)
+__all__ = ('HOSTS_FIELD', 'RULES_FIELD', 'decode_plan')
+
+HOSTS_FIELD = 'virtual_hosts'
+RULES_FIELD = 'path_rules'
 
 _SECOND = 1000  # milliseconds
 _VERSION_TAG = 'r'
--- a/bluebellsill/standins/mesh_target.py
+++ b/bluebellsill/standins/mesh_target.py
@@ -6,6 +6,7 @@
 from collections import Counter, deque
 from dataclasses import dataclass
 from http import HTTPStatus
+from pathlib import Path
 from time import time
 from typing import TYPE_CHECKING
 from urllib.parse import parse_qs
@@ -60,6 +61,8 @@
         reports: The node's address for reports.
         callers: The node's address for calls of its own.
         slots: The requests that it runs at a time.
+        ledger: A file to which each run is appended, empty for none; it
+            outlives the target.
     """
 
     service: str
@@ -67,6 +70,7 @@
     reports: str
     callers: str
     slots: int = 6
+    ledger: str = ''
 
 
 class MeshBehaviour(Struct, frozen=True, forbid_unknown_fields=True):
@@ -235,6 +239,7 @@
         self._jobs.add(job)
         request = job.request
         self._runs[request.header(REQUEST_ID)] += 1
+        self._note_run(request)
         self._log.append(
             {
                 'at': time(),
@@ -250,6 +255,22 @@
         else:
             self._work(job)
 
+    def _note_run(self, request: Request) -> None:
+        settings = self._settings
+        if not settings.ledger:
+            return
+        line = json.encode(
+            {
+                'at': time(),
+                'id': request.header(REQUEST_ID),
+                'method': request.method,
+                'service': settings.service,
+                'zone': settings.zone,
+            },
+        )
+        with Path(settings.ledger).open('ab') as ledger:
+            ledger.write(b'%b\n' % line)
+
     def _call(self, job: _Job) -> None:
         request = job.request
         own_id = f'{request.header(REQUEST_ID)}.{len(self._log):x}'
--- a/demo/mesh_harness.py
+++ b/demo/mesh_harness.py
@@ -12,6 +12,9 @@
 from socket import create_server
 from typing import TYPE_CHECKING, Any
 
+from bluebellsill.platform.headers import DEADLINE, REQUEST_ID
+from bluebellsill.platform.operator_keys import DOCUMENT_KEY, ZONE_PREFIX
+from bluebellsill.platform.routing_document import HOSTS_FIELD, RULES_FIELD
 from demo.program import Process
 
 if TYPE_CHECKING:
@@ -88,6 +91,7 @@
     def __init__(self, folder: Path) -> None:
         """Start the store; logs and settings go to ``folder``."""
         self.folder = folder
+        self.ledger = folder / 'ledger.jsonl'
         self.vms: list[Vm] = []
         self.version = 0
         command = ['bluebellsill-standin', 'kv-store']
@@ -132,6 +136,7 @@
                 'zone': vm.zone,
                 'reports': vm.ports['reports'],
                 'callers': vm.ports['callers'],
+                'ledger': str(self.ledger),
             },
         )
         command = [
@@ -153,15 +158,20 @@
                 {'name': name, 'health_path': '/healthz', 'cold_per_s': 8}
                 for name in sorted(services - {''})
             ],
-            'virtual_hosts': [{'hostname': HOST, 'path_rules': routes}],
+            HOSTS_FIELD: [{'hostname': HOST, RULES_FIELD: routes}],
         }
-        self.operate('PUT', 'op/config', json.dumps(document).encode())
+        self.operate('PUT', DOCUMENT_KEY, json.dumps(document).encode())
 
     def operate(self, method: str, key: str, body: bytes = b'') -> None:
         """Write or remove a key as an operator."""
         reply = fetch(self.store.listening, method, f'/_keys/{key}', body)
         assert reply.status == http.client.OK, reply
 
+    def set_zone_out(self, zone: str, *, is_out: bool) -> None:
+        """Take an availability zone out as an operator, or back."""
+        method = 'PUT' if is_out else 'DELETE'
+        self.operate(method, f'{ZONE_PREFIX}{zone}', b'{}')
+
     def misbehave(self, **behaviour: Any) -> None:
         """Let the store misbehave toward nodes; nothing ends that."""
         body = json.dumps(behaviour).encode()
@@ -212,8 +222,8 @@
         """Make a caller's request at the node of a VM."""
         headers = {
             'Host': HOST,
-            'Bluebellsill-Request-Id': name or f'{time.monotonic_ns():x}',
-            'Bluebellsill-Deadline-Ms': str(deadline_ms),
+            REQUEST_ID: name or f'{time.monotonic_ns():x}',
+            DEADLINE: str(deadline_ms),
         }
         return fetch(
             vm.ports['callers'],
