Take callers once the targets are known; share what gates and programs repeat

Cause: test_mesh_path found a node, restarted while the store was down, that took callers and answered 503 no_target: it had the routes from the first peer that pinged it, but asked for the other members at its next sync, up to 5 s later.

Ruled out: the store (refused all the while, as the test wants).

Change: a lone member that is found by another asks it for all members at once; a node is ready when each service of its routes has a target, or after 2 s. Gates share CallCounter, the two node programs their command line.

Tests: test_swim (new, failed before), test_mesh_path, test_mesh_settings.

--- a/bluebellsill/admission.py
+++ b/bluebellsill/admission.py
@@ -8,7 +8,7 @@
 
 from bluebellsill.ramp import Ramp
 
-__all__ = ('Admission', 'Decision', 'Gate', 'Ticket')
+__all__ = ('Admission', 'CallCounter', 'Decision', 'Gate', 'Ticket')
 
 QUEUE_WAIT = 0.05  # seconds that a call may wait however fast answers are
 
@@ -114,17 +114,11 @@
         """Take in how many times longer than usual work takes now."""
 
 
-class Gate:
-    """Counts exactly what runs at one target and never exceeds its limit.
-
-    The queue is as long as the limit, so that whoever waits needs to
-    wait for about one service time. It is ordered by priority, then by
-    arrival; a full queue sheds its lowest priority.
-    """
+class CallCounter:
+    """The calls that run and wait at one gate, counted exactly."""
 
-    def __init__(self, slots: int) -> None:
-        """Create the gate of a target that starts cold."""
-        self.ramp = Ramp(slots)
+    def __init__(self) -> None:
+        """Create a counter of a gate that nobody has come to."""
         self._running: set[Ticket] = set()
         self._queue: list[Ticket] = []
 
@@ -138,6 +132,41 @@
         """The number of calls that run or wait."""
         return len(self._running) + len(self._queue)
 
+    def finish(self, ticket: Ticket) -> None:
+        """Free the slot of a call that has ended."""
+        self._running.discard(ticket)
+
+    def withdraw(self, ticket: Ticket) -> bool:
+        """Take a waiting call out.
+
+        Returns:
+            Whether the call was waiting.
+        """
+        if ticket not in self._queue:
+            return False
+        self._queue.remove(ticket)
+        return True
+
+    def drop_queue(self) -> list[Ticket]:
+        """Take out every waiting call."""
+        dropped = self._queue
+        self._queue = []
+        return dropped
+
+
+class Gate(CallCounter):
+    """Counts exactly what runs at one target and never exceeds its limit.
+
+    The queue is as long as the limit, so that whoever waits needs to
+    wait for about one service time. It is ordered by priority, then by
+    arrival; a full queue sheds its lowest priority.
+    """
+
+    def __init__(self, slots: int) -> None:
+        """Create the gate of a target that starts cold."""
+        super().__init__()
+        self.ramp = Ramp(slots)
+
     @property
     def limit(self) -> int:
         """The number of calls that may run."""
@@ -170,21 +199,6 @@
         self._enqueue(ticket)
         return Decision.WAIT, shed
 
-    def finish(self, ticket: Ticket) -> None:
-        """Free the slot of a call that has ended."""
-        self._running.discard(ticket)
-
-    def withdraw(self, ticket: Ticket) -> bool:
-        """Take a waiting call out.
-
-        Returns:
-            Whether the call was waiting.
-        """
-        if ticket not in self._queue:
-            return False
-        self._queue.remove(ticket)
-        return True
-
     def admit(self, now: float) -> list[Ticket]:
         """Start as many waiting calls as there are free slots."""
         admitted: list[Ticket] = []
@@ -203,12 +217,6 @@
             self._queue.remove(ticket)
         return expired
 
-    def drop_queue(self) -> list[Ticket]:
-        """Take out every waiting call."""
-        dropped = self._queue
-        self._queue = []
-        return dropped
-
     def next_start(self, now: float) -> None:
         """Return None: whatever waits, waits for a slot."""
 
--- a/bluebellsill/mesh_command.py
+++ b/bluebellsill/mesh_command.py
@@ -2,30 +2,23 @@
 
 from __future__ import annotations
 
-import argparse
 import sys
-from pathlib import Path
+from typing import TYPE_CHECKING
 
 import msgspec
 from result import Err, Ok, Result
 
-from bluebellsill import __version__
+from bluebellsill._node_program import run_node_program
 from bluebellsill.logs import get_logger, send_logs_to
 from bluebellsill.mesh_settings import MeshSettings
 from bluebellsill.settings import load_toml
 
-__all__ = ('main',)
+if TYPE_CHECKING:
+    from pathlib import Path
 
-EXIT_SETTINGS = 2
-EXIT_ADDRESS = 3
-_STANDARD_OUTPUT = 1
+__all__ = ('load', 'main', 'run')
 
-_EPILOG = """\
-exit codes:
-  0  stopped gracefully, or the settings are valid (--check)
-  2  the settings are not valid; every fault is printed
-  3  an address cannot be bound
-"""
+_STANDARD_OUTPUT = 1
 
 
 def main() -> None:
@@ -42,29 +35,14 @@
     Returns:
         The exit code.
     """
-    parser = argparse.ArgumentParser(
-        prog='bluebellsill-mesh',
-        description='Run the node beside one target of the platform. SIGTERM'
-        ' stops it gracefully, SIGHUP reads the settings again.',
-        epilog=_EPILOG,
-        formatter_class=argparse.RawDescriptionHelpFormatter,
-    )
-    parser.add_argument('settings', type=Path, help='the TOML settings file')
-    parser.add_argument(
-        '--check',
-        action='store_true',
-        help='validate the settings without starting',
+    return run_node_program(
+        'bluebellsill-mesh',
+        'Run the node beside one target of the platform. SIGTERM stops it'
+        ' gracefully, SIGHUP reads the settings again.',
+        arguments,
+        load,
+        _serve,
     )
-    parser.add_argument('--version', action='version', version=__version__)
-    options = parser.parse_args(arguments)
-    loaded = load(options.settings)
-    if isinstance(loaded, Err):
-        for fault in loaded.err_value:
-            sys.stderr.write(f'{options.settings}: {fault}\n')
-        return EXIT_SETTINGS
-    if options.check:
-        return 0
-    return _serve(options.settings, loaded.ok_value)
 
 
 def load(path: Path) -> Result[MeshSettings, list[str]]:
@@ -80,7 +58,7 @@
     return Ok(settings)
 
 
-def _serve(path: Path, settings: MeshSettings) -> int:
+def _serve(path: Path, settings: MeshSettings) -> None:
     # Imported late, so that --check and --help stay quick.
     from bluebellsill.mesh_node import MeshNode  # noqa: PLC0415
 
@@ -94,13 +72,7 @@
         return loaded.ok_value
 
     send_logs_to(_STANDARD_OUTPUT)
-    try:
-        node = MeshNode(settings, reload)
-    except OSError as error:
-        sys.stderr.write(f'cannot listen: {error}\n')
-        return EXIT_ADDRESS
-    node.run()
-    return 0
+    MeshNode(settings, reload).run()
 
 
 if __name__ == '__main__':
--- a/bluebellsill/mesh_node.py
+++ b/bluebellsill/mesh_node.py
@@ -58,12 +58,13 @@
     from bluebellsill.http import Request
     from bluebellsill.http_server import Reply
     from bluebellsill.mesh_settings import MeshSettings
+    from bluebellsill.routing_plan import RoutingPlan
 
 __all__ = ('MeshNode',)
 
 _LOG_PERIOD = 0.1  # seconds until lines that a slow reader left are tried
 _SEED_BYTES = 8
-_MEET_SECONDS = 2.0  # until a node without peers takes callers all the same
+_MEET_SECONDS = 2.0  # until a node takes callers without knowing all targets
 _REPORT_LIVES = 6  # report periods until a silent target is lost
 _CONFIRM_SHARE = 0.9  # of a report period; the second report confirms
 _PROBE_PERIOD = 0.5  # seconds; how long a target may be cold unnoticed
@@ -343,7 +344,18 @@
         if self._state.plan is None or self._stop.has_begun:
             return False
         has_waited = self._clock.now() - self._started_at > _MEET_SECONDS
-        return has_waited or not self._discovery.is_alone
+        return has_waited or self._knows_targets(self._state.plan)
+
+    def _knows_targets(self, plan: RoutingPlan) -> bool:
+        """Return whether each service that routes lead to has a target."""
+        members = self._peers.members
+        return all(
+            any(
+                member.state == MemberState.READY
+                for member in members.of_service(service)
+            )
+            for service in plan.table.services()
+        )
 
     # The target and the operators.
 
--- a/bluebellsill/slot_gate.py
+++ b/bluebellsill/slot_gate.py
@@ -9,7 +9,7 @@
 
 from heapq import heapify, heapreplace
 
-from bluebellsill.admission import Decision, Ticket
+from bluebellsill.admission import CallCounter, Decision, Ticket
 from bluebellsill.crowding import Crowding
 from bluebellsill.slowness import Slowness
 from bluebellsill.start_pace import StartPace
@@ -21,7 +21,7 @@
 _FIRST_WORK = 0.05  # seconds that unknown work is taken to need
 
 
-class SlotGate:
+class SlotGate(CallCounter):
     """Counts what runs at one target and keeps a queue by use.
 
     A request waits only if it is expected to be answered in its target
@@ -42,23 +42,12 @@
             cold_excess: By what the rate may be exceeded that a cold target
                 states, where the platform allows more.
         """
+        super().__init__()
         self._cold_excess = cold_excess
         self.pace = StartPace()
         self.slowness = Slowness()
         self._crowding = Crowding(1)
         self._times = WorkTimes()
-        self._running: set[Ticket] = set()
-        self._queue: list[Ticket] = []
-
-    @property
-    def in_flight(self) -> int:
-        """The number of calls that run."""
-        return len(self._running)
-
-    @property
-    def load(self) -> int:
-        """The number of calls that run or wait."""
-        return len(self._running) + len(self._queue)
 
     @property
     def limit(self) -> int:
@@ -94,21 +83,6 @@
         self._queue.append(ticket)
         return Decision.WAIT, None
 
-    def finish(self, ticket: Ticket) -> None:
-        """Free the slot of a call that has ended."""
-        self._running.discard(ticket)
-
-    def withdraw(self, ticket: Ticket) -> bool:
-        """Take a waiting call out.
-
-        Returns:
-            Whether the call was waiting.
-        """
-        if ticket not in self._queue:
-            return False
-        self._queue.remove(ticket)
-        return True
-
     def admit(self, now: float) -> list[Ticket]:
         """Start as many waiting calls as the target bears at the moment."""
         admitted: list[Ticket] = []
@@ -147,12 +121,6 @@
             ticket.retry_after = self.expected_wait(ticket, now)
         return expired
 
-    def drop_queue(self) -> list[Ticket]:
-        """Take out every waiting call."""
-        dropped = self._queue
-        self._queue = []
-        return dropped
-
     def next_start(self, now: float) -> float | None:
         """Return the seconds until a cold target may be given a waiting call.
 
--- a/bluebellsill/swim.py
+++ b/bluebellsill/swim.py
@@ -198,6 +198,7 @@
         return [self._ping(one) for one in self._sample(extra)]
 
     def _on_ping(self, ping: Ping, now: float) -> list[Send]:
+        was_alone = len(self.members.by_id) == 1
         self._merge(ping.sender, ping.updates, now)
         ack = Ack(
             ping.sequence,
@@ -206,7 +207,11 @@
             self._revision(),
             self._news.take(about=ping.sender.id),
         )
-        return [Send(ping.sender.id, ack)]
+        sends = [Send(ping.sender.id, ack)]
+        if was_alone:
+            # Whoever was found by others learns the rest from the first.
+            sends.append(self._sync_request(ping.sender.id))
+        return sends
 
     def _on_ack(self, ack: Ack, now: float) -> list[Send]:
         self._merge(ack.sender, ack.updates, now)
--- /dev/null
+++ b/tests/test_mesh_settings.py
@@ -0,0 +1,63 @@
+"""The settings of a node on the platform: every fault is told."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from bluebellsill.mesh_command import load, run
+
+_RIGHT = """
+seeds = ["10.0.0.9:8620"]
+[node]
+name = "vm-1"
+availability_zone = "attica-a"
+is_first_start = true
+[listen]
+peers = "10.0.0.1:7600"
+callers = "10.0.0.1:8629"
+reports = "10.0.0.1:8620"
+ready = "10.0.0.1:8625"
+metrics = "10.0.0.1:7615"
+[target]
+service = "shop"
+address = "10.0.0.1:8628"
+[store]
+address = "10.0.9.1:8627"
+[bounds]
+grace_s = 6
+a_bound_of_tomorrow = true
+"""
+
+
+def test_right_settings_are_read(tmp_path: Path) -> None:
+    path = tmp_path / 'node.toml'
+    path.write_text(_RIGHT)
+    settings = load(path).unwrap()
+    assert settings.known_bounds().grace_s == 6
+    assert run([str(path), '--check']) == 0
+
+
+@pytest.mark.parametrize(
+    ('old', 'new', 'told'),
+    [
+        ('"10.0.0.1:7600"', '"here"', "listen.peers = 'here'"),
+        ('name = "vm-1"', '', 'node.name = nothing: is required'),
+        ('[store]', '[shop]', 'store = nothing: is required'),
+        ('grace_s = 6', 'grace_s = -1', "bounds = {'grace_s': -1"),
+        ('grace_s = 6', 'grace_s = ', 'file ='),
+        ('is_first_start = true', 'is_first_start = 3', 'is_first_start = 3'),
+    ],
+)
+def test_wrong_settings_are_refused_with_the_fault(
+    tmp_path: Path,
+    capsys: pytest.CaptureFixture[str],
+    old: str,
+    new: str,
+    told: str,
+) -> None:
+    path = tmp_path / 'node.toml'
+    path.write_text(_RIGHT.replace(old, new))
+    assert run([str(path)]) == 2
+    assert told in capsys.readouterr().err
--- a/tests/test_swim.py
+++ b/tests/test_swim.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+from random import Random
+
 import pytest
 
-from bluebellsill.membership import MemberState
+from bluebellsill.gossip_messages import Ack, Member, Ping, SyncRequest
+from bluebellsill.membership import Members, MemberState
+from bluebellsill.swim import Swim
 from tests.cluster import Cluster
 
 _FIRST = '10.0.0.1:7000'
@@ -83,3 +87,13 @@
         rates.append((cluster.sent - before) / size / 20)
     # Two pings, two acks and a fifth of a sync and its answer a second.
     assert max(rates) < 5
+
+
+def test_lone_member_that_is_found_asks_for_all_the_others() -> None:
+    ready = int(MemberState.READY)
+    members = Members(Member('10.0.0.1:1', 1, 0, ready, 'a', 's'))
+    swim = Swim(members, Random(1), lambda: 0)
+    finder = Member('10.0.0.2:1', 1, 0, ready, 'a', 's')
+    sends = swim.handle(Ping(7, finder, 0, []), 0)
+    assert [type(send.message) for send in sends] == [Ack, SyncRequest]
+    assert len(swim.handle(Ping(8, finder, 0, []), 0)) == 1
