Read the change as a newcomer: smaller modules, units, one copy of wire names

No change of behaviour. Announcement, WatchRules and Readiness are modules of their own; stand-ins build the platform's messages from the adapter's types; constants say their unit and where they come from.

--- a/bluebellsill/_binding.py
+++ b/bluebellsill/_binding.py
@@ -11,7 +11,7 @@
     from bluebellsill.reactor import Reactor
     from bluebellsill.streams import Address
 
-_TRIES = 16
+_TRIES = 16  # attempts to find a port that is free for both
 
 
 def bind_peers(
--- a/bluebellsill/_node_program.py
+++ b/bluebellsill/_node_program.py
@@ -15,8 +15,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-EXIT_SETTINGS = 2
-EXIT_ADDRESS = 3
+EXIT_SETTINGS = 2  # exit code, docs/OPERATIONS.md
+EXIT_ADDRESS = 3  # exit code, docs/OPERATIONS.md
 
 _EPILOG = """\
 exit codes:
--- a/bluebellsill/_signals.py
+++ b/bluebellsill/_signals.py
@@ -12,7 +12,7 @@
     from bluebellsill.reactor import Reactor
 
 
-_MAX_SIGNALS = 64
+_MAX_SIGNALS = 64  # bytes read at once, one for each signal
 _STOPS = frozenset((signal.SIGTERM, signal.SIGINT))
 
 
--- a/bluebellsill/announcements.py
+++ b/bluebellsill/announcements.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from bluebellsill.announcement import Announcement
 from bluebellsill.errors import ErrorKind, Problem
 from bluebellsill.http import (
     Request,
@@ -15,7 +16,6 @@
 )
 from bluebellsill.http_server import Reply
 from bluebellsill.streams import Address
-from bluebellsill.target_watch import Announcement
 
 if TYPE_CHECKING:
     from bluebellsill.gateway import Gateway
--- a/bluebellsill/caller_interface.py
+++ b/bluebellsill/caller_interface.py
@@ -33,8 +33,8 @@
 __all__ = ('CallerInterface', 'OwnInterface')
 
 CORRELATION_HEADER = 'bluebellsill-correlation'
-_CORRELATION_BITS = 32
-_MAX_CORRELATION_LENGTH = 128
+_CORRELATION_BITS = 32  # of a suffix; two calls of one id hardly meet
+_MAX_CORRELATION_LENGTH = 128  # characters; longer ones are replaced
 _NOT_FORWARDED = frozenset(('host', DEADLINE_HEADER, CORRELATION_HEADER))
 
 
--- a/bluebellsill/choice.py
+++ b/bluebellsill/choice.py
@@ -23,7 +23,7 @@
 
 
 _CLEARLY = 1.3  # ratio of costs from which a difference is not chance
-_TURN_BITS = 16
+_TURN_BITS = 16  # of a random start, more than any number of targets
 # In units of one usual answer:
 # What the bytes between zones and the way there are worth: a near target is
 # left only for a far one if it is known to be slow or full.
--- a/bluebellsill/configuration.py
+++ b/bluebellsill/configuration.py
@@ -35,9 +35,9 @@
     'decode_snapshot',
 )
 
-MAX_KEPT_CHANGES = 512
-MAX_HEAD_CHANGES = 256
-_HEAD_TAIL = 64
+MAX_KEPT_CHANGES = 512  # changes in memory for peers that lag
+MAX_HEAD_CHANGES = 256  # changes in the head until it is compacted
+_HEAD_TAIL = 64  # changes that stay in a compacted head
 
 _SHIFT_NAME = 'current'
 
--- a/bluebellsill/ctl_command.py
+++ b/bluebellsill/ctl_command.py
@@ -23,10 +23,10 @@
 
 __all__ = ('main',)
 
-EXIT_REFUSED = 1
-EXIT_USAGE = 2
-EXIT_UNREACHABLE = 3
-EXIT_LAGGING = 4
+EXIT_REFUSED = 1  # exit code, docs/OPERATIONS.md
+EXIT_USAGE = 2  # exit code, docs/OPERATIONS.md
+EXIT_UNREACHABLE = 3  # exit code, docs/OPERATIONS.md
+EXIT_LAGGING = 4  # exit code, docs/OPERATIONS.md
 
 _NODE_VARIABLE = 'BLUEBELLSILL_NODE'
 _TOKEN_VARIABLE = 'BLUEBELLSILL_TOKEN'  # noqa: S105
--- a/bluebellsill/dissemination.py
+++ b/bluebellsill/dissemination.py
@@ -15,7 +15,7 @@
 __all__ = ('MAX_UPDATES', 'Dissemination')
 
 MAX_UPDATES = 12  # records in one datagram
-_RETRANSMIT_FACTOR = 3
+_RETRANSMIT_FACTOR = 3  # times the logarithm of the members, as SWIM has it
 
 
 class Dissemination:
--- a/bluebellsill/holder_history.py
+++ b/bluebellsill/holder_history.py
@@ -18,7 +18,7 @@
 
 __all__ = ('Certainty', 'HolderHistory', 'holders_of', 'key_time')
 
-HOLDERS = 2
+HOLDERS = 2  # nodes for each key; one may be lost
 RETENTION = 600  # seconds that a key is remembered
 SETTLE = 3.0  # seconds; covers the spread of a detection over members
 FENCE = 5.0  # seconds; covers clock skew and the detection of failures
--- a/bluebellsill/idempotency.py
+++ b/bluebellsill/idempotency.py
@@ -24,7 +24,7 @@
 __all__ = ('ClaimState', 'Grant', 'KeyHolder', 'Outcome')
 
 MAX_KEPT_BODY = 16384  # bytes
-_MAX_RECORDS = 20000
+_MAX_RECORDS = 20000  # keys of one holder, docs/CAPACITY.md
 
 
 @unique
--- a/bluebellsill/level.py
+++ b/bluebellsill/level.py
@@ -4,12 +4,12 @@
 
 __all__ = ('Level',)
 
-_JUMP_FACTOR = 3
+_JUMP_FACTOR = 3  # times the median; beyond the spread of usual work
 _MEDIAN_STEP = 0.02  # share by which the median moves with each answer
 _MAX_CHANCE = 1e-4  # of a streak that is taken for chance
 _RARE = 0.01  # share of odd answers that is always expected
 _COMMON = 0.5  # share of odd answers at most
-_SHARE_WEIGHT = 0.02
+_SHARE_WEIGHT = 0.02  # of an answer in the share of odd ones
 
 
 class _Streak:
--- a/bluebellsill/load/command.py
+++ b/bluebellsill/load/command.py
@@ -17,7 +17,7 @@
 
 __all__ = ('main',)
 
-EXIT_SETTINGS = 2
+EXIT_SETTINGS = 2  # exit code
 
 
 class _PlayCommand(Command):
--- a/bluebellsill/logs.py
+++ b/bluebellsill/logs.py
@@ -19,7 +19,7 @@
 
 # Lines of one event; a hundred failed calls tell as much as a thousand.
 _LINES_PER_SECOND = 100
-_STANDARD_ERROR = 2
+_STANDARD_ERROR = 2  # file descriptor
 
 _encoder = json.Encoder(enc_hook=str)
 
--- a/bluebellsill/losses.py
+++ b/bluebellsill/losses.py
@@ -11,7 +11,7 @@
 
 __all__ = ('Loss', 'Losses')
 
-_MAX_LOSSES = 16
+_MAX_LOSSES = 16  # losses remembered; more than a target has slots
 _MEMORY = 5.0  # seconds
 
 
--- a/bluebellsill/membership.py
+++ b/bluebellsill/membership.py
@@ -19,7 +19,7 @@
 __all__ = ('MemberState', 'Members')
 
 GONE_RETENTION = 900  # seconds
-BUCKETS = 64
+BUCKETS = 64  # of records whose hashes are compared in a sync
 
 
 @unique
--- a/bluebellsill/mesh_command.py
+++ b/bluebellsill/mesh_command.py
@@ -18,7 +18,7 @@
 
 __all__ = ('load', 'main', 'run')
 
-_STANDARD_OUTPUT = 1
+_STANDARD_OUTPUT = 1  # file descriptor
 
 
 def main() -> None:
--- a/bluebellsill/mesh_node.py
+++ b/bluebellsill/mesh_node.py
@@ -10,6 +10,7 @@
 
 from bluebellsill._signals import take_signals
 from bluebellsill.acceptance import Acceptance
+from bluebellsill.announcement import Announcement
 from bluebellsill.choice import NearestFree
 from bluebellsill.clock import SystemClock
 from bluebellsill.crash_spread import CrashSpread
@@ -40,6 +41,7 @@
 from bluebellsill.platform.targets import PlatformDialect
 from bluebellsill.quarantine import Quarantine
 from bluebellsill.reactor import Reactor
+from bluebellsill.readiness import Readiness
 from bluebellsill.resources import OUTSIDE, Service
 from bluebellsill.retries import RetryBudget
 from bluebellsill.route_interface import RouteInterface
@@ -48,8 +50,8 @@
 from bluebellsill.streams import Address
 from bluebellsill.target_lives import Departure, TargetLives, TargetReport
 from bluebellsill.target_runner import TargetRunner
-from bluebellsill.target_watch import Announcement, WatchRules
 from bluebellsill.timers import TimerService
+from bluebellsill.watch_rules import WatchRules
 from bluebellsill.weights import WeightedTurns
 
 if TYPE_CHECKING:
@@ -58,13 +60,11 @@
     from bluebellsill.http import Request
     from bluebellsill.http_server import Reply
     from bluebellsill.mesh_settings import MeshSettings
-    from bluebellsill.routing_plan import RoutingPlan
 
 __all__ = ('MeshNode',)
 
 _LOG_PERIOD = 0.1  # seconds until lines that a slow reader left are tried
-_SEED_BYTES = 8
-_MEET_SECONDS = 2.0  # until a node takes callers without knowing all targets
+_SEED_BYTES = 8  # bytes from the system for the random source
 _REPORT_LIVES = 6  # report periods until a silent target is lost
 _CONFIRM_SHARE = 0.9  # of a report period; the second report confirms
 _PROBE_PERIOD = 0.5  # seconds; how long a target may be cold unnoticed
@@ -101,7 +101,6 @@
         self._random = Random(urandom(_SEED_BYTES))
         self._metrics = Metrics()
         self._quarantine = Quarantine()
-        self._started_at = self._clock.now()
         self._was_zone_out = False
         self._build_peers()
         self._build_target()
@@ -190,6 +189,11 @@
             self._timers,
             self._random,
         )
+        self._readiness = Readiness(
+            self._state,
+            self._peers.members,
+            self._clock,
+        )
         self._discovery = Discovery(
             NodeKeys(self._store),
             self._peers,
@@ -341,21 +345,7 @@
         self.stop()
 
     def _is_ready(self) -> bool:
-        if self._state.plan is None or self._stop.has_begun:
-            return False
-        has_waited = self._clock.now() - self._started_at > _MEET_SECONDS
-        return has_waited or self._knows_targets(self._state.plan)
-
-    def _knows_targets(self, plan: RoutingPlan) -> bool:
-        """Return whether each service that routes lead to has a target."""
-        members = self._peers.members
-        return all(
-            any(
-                member.state == MemberState.READY
-                for member in members.of_service(service)
-            )
-            for service in plan.table.services()
-        )
+        return not self._stop.has_begun and self._readiness.is_ready()
 
     # The target and the operators.
 
--- a/bluebellsill/metrics.py
+++ b/bluebellsill/metrics.py
@@ -23,10 +23,10 @@
 
 _MIN_LATENCY = 1  # microseconds
 _MAX_LATENCY = 120_000_000  # microseconds
-_SIGNIFICANT_DIGITS = 2
-_MAX_TENANTS = 64
+_SIGNIFICANT_DIGITS = 2  # of a latency; 1% is fine enough
+_MAX_TENANTS = 64  # histograms; further tenants share one
 _OTHER = 'other'
-_MICROSECONDS = 1000000
+_MICROSECONDS = 1000000  # in a second
 _PERCENTILES = {'p50_ms': 50, 'p99_ms': 99, 'p999_ms': 99.9}
 
 
--- a/bluebellsill/node.py
+++ b/bluebellsill/node.py
@@ -56,8 +56,8 @@
 _OBSERVE_PERIOD = 2.0  # seconds
 _LEAVE_GRACE = 1.0  # seconds in which callers may still arrive
 _DRAIN_PERIOD = 0.05  # seconds
-_SEED_BYTES = 8
-_TOKEN_BYTES = 16
+_SEED_BYTES = 8  # bytes from the system for the random source
+_TOKEN_BYTES = 16  # bytes of a token that names a write
 
 
 class Node(BaseComponent):
--- a/bluebellsill/platform/endpoints.py
+++ b/bluebellsill/platform/endpoints.py
@@ -7,10 +7,10 @@
 
 from msgspec import DecodeError, Meta, Struct, json
 
+from bluebellsill.announcement import Announcement
 from bluebellsill.http import Request, Response, json_response
 from bluebellsill.logs import get_logger
 from bluebellsill.target_lives import Departure, TargetReport
-from bluebellsill.target_watch import Announcement
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -22,8 +22,11 @@
     'METRICS_PATH',
     'READY_PATH',
     'REPORT_PREFIX',
+    'Info',
     'MetricsApi',
     'ReadyApi',
+    'Report',
+    'Status',
     'TargetReportApi',
 )
 
@@ -36,7 +39,7 @@
 _TEXT = ('content-type', 'text/plain; version=0.0.4')
 
 
-class _Info(Struct, frozen=True):
+class Info(Struct, frozen=True):
     """What does not change in a target's life."""
 
     service: str
@@ -45,7 +48,7 @@
     slots: Annotated[int, Meta(ge=1, le=_MAX_SLOTS)]
 
 
-class _Status(Struct, frozen=True):
+class Status(Struct, frozen=True):
     """What changes.
 
     Attributes:
@@ -59,12 +62,12 @@
     cold_left_ms: Annotated[float, Meta(ge=0)] = 0
 
 
-class _Report(Struct, frozen=True):
+class Report(Struct, frozen=True):
     """One report; ``born`` is when the life began, in Unix milliseconds."""
 
     address: str
-    info: _Info
-    status: _Status
+    info: Info
+    status: Status
     born: Annotated[int, Meta(ge=0)] = 0
 
 
@@ -117,7 +120,7 @@
 
     def _take(self, name: str, body: bytes, reply: Reply) -> None:
         try:
-            report = json.decode(body, type=_Report)
+            report = json.decode(body, type=Report)
         except DecodeError as error:
             self._refuse(name, str(error), reply)
             return
@@ -182,7 +185,7 @@
         reply.send(Response(HTTPStatus.OK, [_TEXT], body))
 
 
-def _decoded(name: str, report: _Report) -> TargetReport:
+def _decoded(name: str, report: Report) -> TargetReport:
     return TargetReport(
         name,
         report.born,
--- a/bluebellsill/platform/kv_store.py
+++ b/bluebellsill/platform/kv_store.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING, Any, TypeVar
 from urllib.parse import urlencode
 
-from msgspec import UNSET, DecodeError, Struct, UnsetType, json
+from msgspec import UNSET, DecodeError, Struct, UnsetType, field, json
 from result import Err, Ok, Result
 
 from bluebellsill.http import Request, Response
@@ -110,14 +110,14 @@
     """A change of keys under a condition.
 
     Attributes:
-        expected_revision: The condition, a row for each key.
+        conditions: What must hold, a row for each key.
         writes: The new values.
-        remove: The keys to delete.
+        removals: The keys to delete.
     """
 
-    expected_revision: list[ExpectedRow]
+    conditions: list[ExpectedRow] = field(name='expected_revision')
     writes: list[WrittenRow]
-    remove: list[str] = []
+    removals: list[str] = field(name='remove', default_factory=list)
 
 
 class _Lease(Struct, frozen=True):
--- a/bluebellsill/platform/targets.py
+++ b/bluebellsill/platform/targets.py
@@ -19,17 +19,17 @@
 from bluebellsill.target_dialect import TargetHealth
 
 if TYPE_CHECKING:
+    from bluebellsill.announcement import Announcement
     from bluebellsill.http import Headers, Response
     from bluebellsill.messages import Call
-    from bluebellsill.target_watch import Announcement
 
 __all__ = ('PlatformDialect',)
 
 _SECOND = 1000  # milliseconds
 _PERCENT = 100  # of the usual time
 _LOAD_FIGURES = 4  # running, waiting, slots, slowness
-_SLOTS_FIGURE = 2
-_SLOWNESS_FIGURE = 3
+_SLOTS_FIGURE = 2  # place in the header
+_SLOWNESS_FIGURE = 3  # place in the header
 _NO_LOAD = [0 for _ in range(_LOAD_FIGURES)]
 
 
--- a/bluebellsill/quarantine.py
+++ b/bluebellsill/quarantine.py
@@ -9,7 +9,7 @@
 
 MAX_CRASHES = 2  # crashes before a fingerprint is refused
 _RETENTION = 600  # seconds
-_MAX_SUSPECTS = 512
+_MAX_SUSPECTS = 512  # fingerprints; the oldest go first
 
 
 @dataclass(slots=True)
--- a/bluebellsill/ramp.py
+++ b/bluebellsill/ramp.py
@@ -6,7 +6,7 @@
 
 __all__ = ('Ramp',)
 
-_COLD_LIMIT = 1
+_COLD_LIMIT = 1  # request at a time at a target that nobody knows
 _ANSWERS_FOR_STEP = 8  # for each step, times the limit
 _SPARE_WEIGHT = 0.25  # of an answer while the limit was not used up
 _LATENCY_FLOOR = 0.002  # seconds; below it, jitter hides the trend
--- a/bluebellsill/reader.py
+++ b/bluebellsill/reader.py
@@ -23,14 +23,14 @@
 
 SEEDS_KEY = 'members/seeds'
 CHECK_PERIOD = 1.0  # seconds
-_WATCH_SECONDS = 25.0
+_WATCH_SECONDS = 25.0  # seconds, below the longest wait of the store
 _MIN_BACKOFF = 0.2  # seconds
 _MAX_BACKOFF = 5.0  # seconds
 _SEEDS_PERIOD = 30.0  # seconds
-_SEEDS_PER_ZONE = 3
+_SEEDS_PER_ZONE = 3  # nodes; one of them is likely to live
 _MIN_CONFLICT_WAIT = 0.05  # seconds
 _MAX_CONFLICT_WAIT = 0.5  # seconds
-_MAX_SEEDS = 96
+_MAX_SEEDS = 96  # nodes in all zones
 
 
 class ConfigurationReader:
--- a/bluebellsill/rollout.py
+++ b/bluebellsill/rollout.py
@@ -16,8 +16,8 @@
 
 __all__ = ('Rollout', 'RolloutQuery', 'RolloutStatus', 'readers_of')
 
-READERS_PER_ZONE = 2
-_MAX_EXAMPLES = 16
+READERS_PER_ZONE = 2  # nodes; one may fail
+_MAX_EXAMPLES = 16  # names of nodes that lag
 
 
 @dataclass(frozen=True, slots=True)
--- a/bluebellsill/route_interface.py
+++ b/bluebellsill/route_interface.py
@@ -31,7 +31,7 @@
 
 __all__ = ('HeaderNames', 'RouteFilter', 'RouteInterface')
 
-_ID_BITS = 64
+_ID_BITS = 64  # of an id for a request without one
 
 
 @dataclass(frozen=True, slots=True)
--- a/bluebellsill/routing.py
+++ b/bluebellsill/routing.py
@@ -16,7 +16,7 @@
 __all__ = ('Router',)
 
 SUBSET_SIZE = 16  # targets of one service that an entry node uses
-_OWN_ZONE_SIZE = 8
+_OWN_ZONE_SIZE = 8  # targets of the own zone among them
 
 
 class Router:
--- a/bluebellsill/standins/kv_store.py
+++ b/bluebellsill/standins/kv_store.py
@@ -260,7 +260,7 @@
         self._timers.after(behaviour.late_ms / _SECOND, commit)
 
     def _commit(self, txn: Txn) -> Response:
-        for row in txn.expected_revision:
+        for row in txn.conditions:
             item = self._items.get(row.key)
             found = item.revision if item else 0
             if found != row.revision:
--- a/bluebellsill/standins/mesh_target.py
+++ b/bluebellsill/standins/mesh_target.py
@@ -19,7 +19,12 @@
 from bluebellsill.http import Request, Response, json_response
 from bluebellsill.http_client import HttpFailure, HttpPool
 from bluebellsill.http_server import HttpServer, Reply
-from bluebellsill.platform.endpoints import REPORT_PREFIX
+from bluebellsill.platform.endpoints import (
+    REPORT_PREFIX,
+    Info,
+    Report,
+    Status,
+)
 from bluebellsill.platform.headers import (
     CALLER_SERVICE,
     COLD_LEFT,
@@ -155,23 +160,18 @@
             return
         self._sequence += 1
         settings = self._settings
-        document = {
-            'address': str(self.address),
-            'born': self._born,
-            'info': {
-                'service': settings.service,
-                'version': 'v1',
-                'zone': settings.zone,
-                'slots': settings.slots,
-            },
-            'status': {
-                'state': 'draining' if self._is_leaving else 'ready',
-                'sequence': self._sequence,
-                'cold_left_ms': self._behaviour.cold_seconds * _SECOND,
-            },
-        }
+        report = Report(
+            str(self.address),
+            Info(settings.service, 'v1', settings.zone, settings.slots),
+            Status(
+                'draining' if self._is_leaving else 'ready',
+                self._sequence,
+                self._behaviour.cold_seconds * _SECOND,
+            ),
+            self._born,
+        )
         path = f'{REPORT_PREFIX}{self._name}'
-        request = Request('PUT', path, body=json.encode(document))
+        request = Request('PUT', path, body=json.encode(report))
         self._reports.request(request, _REPORT_TIMEOUT, self._on_reported)
 
     def _on_reported(self, done: Result[Response, HttpFailure]) -> None:
--- a/bluebellsill/standins/target.py
+++ b/bluebellsill/standins/target.py
@@ -14,6 +14,7 @@
 from msgspec import DecodeError, ValidationError, json
 from msgspec.structs import replace
 
+from bluebellsill.announcement import Announcement
 from bluebellsill.announcements import ANNOUNCE_PATH
 from bluebellsill.clock import SystemClock
 from bluebellsill.http import (
@@ -27,7 +28,6 @@
 from bluebellsill.standins.behaviour import Behaviour
 from bluebellsill.standins.chain import onward_request
 from bluebellsill.streams import Address
-from bluebellsill.target_watch import Announcement
 from bluebellsill.timers import TimerService
 
 if TYPE_CHECKING:
--- a/bluebellsill/target_dialect.py
+++ b/bluebellsill/target_dialect.py
@@ -9,10 +9,10 @@
 from bluebellsill.http_client import AnswerRules
 
 if TYPE_CHECKING:
+    from bluebellsill.announcement import Announcement
     from bluebellsill.errors import ErrorKind
     from bluebellsill.http import Headers, Response
     from bluebellsill.messages import Call
-    from bluebellsill.target_watch import Announcement
 
 __all__ = ('OwnDialect', 'TargetDialect', 'TargetHealth')
 
--- a/bluebellsill/target_lives.py
+++ b/bluebellsill/target_lives.py
@@ -6,8 +6,8 @@
 
 from msgspec.structs import replace
 
+from bluebellsill.announcement import Announcement
 from bluebellsill.logs import get_logger
-from bluebellsill.target_watch import Announcement
 
 __all__ = ('Departure', 'TargetLives', 'TargetReport')
 
--- a/bluebellsill/target_runner.py
+++ b/bluebellsill/target_runner.py
@@ -8,6 +8,7 @@
 from result import Err, Result
 
 from bluebellsill.admission import Admission, Decision, Gate, Ticket
+from bluebellsill.announcement import Announcement
 from bluebellsill.breaker import Breaker
 from bluebellsill.errors import ErrorKind
 from bluebellsill.http import Request, Response
@@ -17,13 +18,9 @@
 from bluebellsill.run_replies import RunReplies
 from bluebellsill.runs import Run, TargetOwner, ticket_of
 from bluebellsill.target_dialect import OwnDialect, TargetDialect
-from bluebellsill.target_watch import (
-    OWN_WATCH_RULES,
-    Announcement,
-    TargetWatch,
-    WatchRules,
-)
+from bluebellsill.target_watch import TargetWatch
 from bluebellsill.watch_events import WatchEvents
+from bluebellsill.watch_rules import OWN_WATCH_RULES, WatchRules
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/bluebellsill/target_watch.py
+++ b/bluebellsill/target_watch.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
-from msgspec import Struct
 from msgspec.structs import replace
 from result import Err, Result
 
 from bluebellsill._connect_check import ConnectCheck
+from bluebellsill.announcement import Announcement, differ, is_told_by_probe
 from bluebellsill.http import Request, Response
 from bluebellsill.http_client import HttpFailure, HttpPool
 from bluebellsill.logs import get_logger
@@ -17,6 +16,7 @@
 from bluebellsill.probing import ProbeBudget
 from bluebellsill.resources import Service
 from bluebellsill.streams import Address
+from bluebellsill.watch_rules import OWN_WATCH_RULES, WatchOwner, WatchRules
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -25,13 +25,7 @@
     from bluebellsill.reactor import Reactor
     from bluebellsill.target_dialect import TargetDialect, TargetHealth
 
-__all__ = (
-    'OWN_WATCH_RULES',
-    'Announcement',
-    'TargetWatch',
-    'WatchOwner',
-    'WatchRules',
-)
+__all__ = ('TargetWatch',)
 
 _CHECK_PERIOD = 0.1  # seconds
 _PROBE_TIMEOUT = 1.0  # seconds
@@ -39,79 +33,6 @@
 _MAX_FAILED_PROBES = 2
 
 
-class Announcement(Struct, frozen=True, forbid_unknown_fields=True):
-    """What a target tells the node beside it, once a second.
-
-    Attributes:
-        service: The service that the target belongs to.
-        address: Where the target answers, ``host:port``.
-        start_id: Differs after each start of the target.
-        is_leaving: Whether the target wants no new work.
-        slots: The requests that it runs at a time, 0 if it does not say.
-        cold_seconds: How long it stays cold, None if it does not say.
-        name: What requests to it call it, where they do.
-        is_provisional: Whether a probe told this, and no report yet.
-    """
-
-    service: str
-    address: str
-    start_id: str
-    is_leaving: bool = False
-    slots: int = 0
-    cold_seconds: float | None = None
-    name: str = ''
-    is_provisional: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class WatchRules:
-    """How closely a target is watched.
-
-    Attributes:
-        announcement_lifetime: Seconds after which a silent target is lost.
-        probe_period: Seconds without news until the target is probed.
-        probes_busy: Whether answers leave the need for probes, because
-            only probes tell whether the target has turned cold.
-        confirm_after: Seconds for which the first announcement that a node
-            hears must stand, unless a probe confirms it; it may be a late
-            one of a target that has said farewell to the node's former
-            life. None trusts it at once.
-    """
-
-    announcement_lifetime: float = 3.0
-    probe_period: float = 1.0
-    probes_busy: bool = False
-    confirm_after: float | None = None
-
-
-OWN_WATCH_RULES = WatchRules()
-
-
-class WatchOwner(Protocol):
-    """Who hears of the target."""
-
-    def service_of(self, name: str) -> Service | None:
-        """Return a declared service."""
-
-    def on_target_cold(self) -> None:
-        """The target has started, or is lost."""
-
-    def on_target_temperature(self, cold_until: float) -> None:
-        """The target has said how long it stays cold."""
-
-    def on_probed(self, response: Response) -> None:
-        """The target has answered a probe."""
-
-    def on_found(self, announcement: Announcement) -> None:
-        """A probe has found a target that has not reported yet."""
-
-    def on_target_changed(self) -> None:
-        """The target has come, is leaving or has gone."""
-
-    def on_crash(self, start_id: str, fingerprints: list[int]) -> None:
-        """A start of the target has crashed with requests in flight."""
-
-
 class TargetWatch:
     """Follows a target by its announcements, its answers and probes."""
 
@@ -172,7 +93,7 @@
         now = self._clock.now()
         self._announced_at = now
         self.announcement = announcement
-        if _is_told_by_probe(known, announcement):
+        if is_told_by_probe(known, announcement):
             self.start_id = announcement.start_id
         elif known is None or known.start_id != announcement.start_id:
             self._on_started(announcement)
@@ -180,7 +101,7 @@
             self._set_cold(announcement.cold_seconds)
         was_ready = known is not None and self._is_confirmed
         self._confirm_by_age(now)
-        if not was_ready or _differ(known, announcement):
+        if not was_ready or differ(known, announcement):
             self._owner.on_target_changed()
 
     def look_for(self, expected: Announcement) -> None:
@@ -403,23 +324,3 @@
             self._owner.on_crash(self.start_id, sorted(fingerprints))
         for loss in losses:
             loss.tell(has_crashed=True)
-
-
-def _differ(known: Announcement | None, announcement: Announcement) -> bool:
-    """Return whether others need to hear of an announcement."""
-    if known is None:
-        return True
-    return replace(known, cold_seconds=None) != replace(
-        announcement,
-        cold_seconds=None,
-    )
-
-
-def _is_told_by_probe(
-    known: Announcement | None,
-    announcement: Announcement,
-) -> bool:
-    """Return whether a report is the first of a target that a probe found."""
-    if known is None or not known.is_provisional:
-        return False
-    return known.name == announcement.name
--- a/bluebellsill/watch_events.py
+++ b/bluebellsill/watch_events.py
@@ -5,11 +5,11 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from bluebellsill.announcement import Announcement
     from bluebellsill.http import Response
     from bluebellsill.resources import Service
     from bluebellsill.runs import TargetOwner
     from bluebellsill.target_runner import TargetRunner
-    from bluebellsill.target_watch import Announcement
 
 __all__ = ('WatchEvents',)
 
--- a/tests/node_session.py
+++ b/tests/node_session.py
@@ -15,6 +15,7 @@
 
 from bluebellsill import _connect_check, http_client, peers
 from bluebellsill.acceptance import Acceptance
+from bluebellsill.announcement import Announcement
 from bluebellsill.caller_interface import OwnInterface
 from bluebellsill.choice import TwoChoices
 from bluebellsill.clock import ManualClock
@@ -46,7 +47,6 @@
 from bluebellsill.runs import Run
 from bluebellsill.streams import Address
 from bluebellsill.target_runner import TargetRunner
-from bluebellsill.target_watch import Announcement
 from bluebellsill.timers import TimerService
 from tests.played import PlayedReply, PlayedStream, shown
 
--- a/tests/test_target_lives.py
+++ b/tests/test_target_lives.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+from bluebellsill.announcement import Announcement
 from bluebellsill.target_lives import Departure, TargetLives, TargetReport
-from bluebellsill.target_watch import Announcement
 
 
 def _report(
--- a/tests/test_target_watch.py
+++ b/tests/test_target_watch.py
@@ -10,6 +10,7 @@
 import pytest
 
 from bluebellsill._connect_check import HOLD
+from bluebellsill.announcement import Announcement
 from bluebellsill.clock import ManualClock
 from bluebellsill.http import Response
 from bluebellsill.metrics import Metrics
@@ -17,7 +18,7 @@
 from bluebellsill.resources import Service
 from bluebellsill.streams import Address
 from bluebellsill.target_dialect import OwnDialect
-from bluebellsill.target_watch import Announcement, TargetWatch
+from bluebellsill.target_watch import TargetWatch
 from bluebellsill.timers import TimerService
 
 
