Do not blame a target for a service below that has no target

All targets of payments were gone or in a zone that was out, so 70% of the catalogue's requests failed with 500 for their calls; the breakers of its two targets opened for that and refused the rest too (321 refusals target_failing in 10 s).

Ruled out: recovery of the nodes (ready 1.5 s after the kill), cold targets (the same share before the kill).

Change: a call that failed is told to the run that made it by the caller interface, on the platform by the id that it extends; as before on the project's own interface, such a 500 is not held against the target and not tried again.

Test: test_mesh_path, failed before.

--- a/bluebellsill/caller_interface.py
+++ b/bluebellsill/caller_interface.py
@@ -46,6 +46,9 @@
     def correlation(self, request: Request) -> str:
         """Return what names a request in the logs of all nodes."""
 
+    def parent(self, request: Request) -> str:
+        """Return what names the request that a target's call is made for."""
+
     def forwarded(self, inbound: Inbound) -> Headers:
         """Return the headers that go to the target's node."""
 
@@ -98,6 +101,10 @@
         own = self._members.own
         return f'{own.id}/{own.incarnation:x}/{self._next_call:x}'
 
+    def parent(self, request: Request) -> str:
+        """Return the correlation that the target has handed on."""
+        return request.header(CORRELATION_HEADER)
+
     def forwarded(self, inbound: Inbound) -> Headers:
         """Return the end-to-end headers but those set for the target."""
         return [
--- a/bluebellsill/gateway.py
+++ b/bluebellsill/gateway.py
@@ -7,7 +7,6 @@
 
 from result import Err
 
-from bluebellsill.caller_interface import CORRELATION_HEADER
 from bluebellsill.calls import PlacedCall
 from bluebellsill.dispatch import Dispatch
 from bluebellsill.errors import ErrorKind, Problem, Run
@@ -197,7 +196,7 @@
         """Tell the run of the target here that its onward call failed."""
         is_inner = inbound.caller != OUTSIDE
         if is_inner and status >= HTTPStatus.INTERNAL_SERVER_ERROR:
-            parent = inbound.request.header(CORRELATION_HEADER)
+            parent = self._interface.parent(inbound.request)
             self._runner.on_failed_below(parent)
 
     def _log_problem(self, inbound: Inbound, problem: Problem) -> None:
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -206,6 +206,26 @@
     assert statuses[-20:].count(200) >= 19
 
 
+def test_target_is_not_blamed_for_a_service_that_has_no_target(
+    deployment: MeshDeployment,
+) -> None:
+    """Found by a hunt: palaistra trouble-3 --seed 377356723513."""
+    deployment.declare([*_ROUTES, _route('/gone/', 'gone')])
+    vms = deployment.vms
+    wait_until(
+        lambda: all(deployment.call(vm, '/gone/x').status == 503 for vm in vms),
+        'the route to nowhere is in force',
+        5,
+    )
+    for one in range(60):
+        reply = deployment.call(vms[one % 6], '/shop/x?call=/gone/y')
+        assert reply.status == 500
+    statuses = {
+        deployment.call(vms[one % 6], '/shop/x').status for one in range(12)
+    }
+    assert statuses == {200}
+
+
 def test_stop_answers_every_request_that_was_read(
     deployment: MeshDeployment,
 ) -> None:
