--- a/bluebellsill/feed_reader.py
+++ b/bluebellsill/feed_reader.py
@@ -52,7 +52,7 @@
         random: Random,
     ) -> None:
         """Create a reader; ``start`` begins its work."""
-        self.is_stopped = False
+        self._is_stopped = False
         self._feed = feed
         self._state = state
         self._members = members
@@ -75,6 +75,11 @@
         if hurries:
             self._check()
 
+    def stop(self) -> None:
+        """Read no more, and let another node of the zone take over."""
+        self._is_stopped = True
+        self._members.restate(is_store_lost=True)
+
     @property
     def is_reader(self) -> bool:
         """Whether this node reads for its zone."""
@@ -85,7 +90,7 @@
         return own.id in rank(own.zone, ids, 1)
 
     def _check(self) -> None:
-        if self._is_busy or self.is_stopped:
+        if self._is_busy or self._is_stopped:
             return
         has_nothing = not self._state.revision
         is_lonely = has_nothing and (
@@ -141,8 +146,7 @@
         if self._failures:
             self._log.info('store regained', failures=self._failures)
         self._failures = 0
-        if self._members.own.is_store_lost:
-            self._members.restate(is_store_lost=False)
+        self._restate_able()
 
     def _on_failed(self, failure: FeedFailure) -> None:
         self._failures += 1
@@ -164,5 +168,8 @@
 
     def _try_again(self) -> None:
         self._failures = 0
-        if self._members.own.is_store_lost:
+        self._restate_able()
+
+    def _restate_able(self) -> None:
+        if self._members.own.is_store_lost and not self._is_stopped:
             self._members.restate(is_store_lost=False)
--- a/bluebellsill/graceful_stop.py
+++ b/bluebellsill/graceful_stop.py
@@ -26,7 +26,8 @@
 
     Callers use open connections until the process is gone, so the listener
     stays open and requests that still come are refused at once. It closes
-    when nothing is in flight any more.
+    when nothing is in flight any more. The target beside the node goes on
+    and may be the last of its service, so it gets calls until then.
 
     Attributes:
         has_begun: Whether the node was asked to stop.
@@ -37,6 +38,7 @@
         self,
         timers: TimerService,
         in_flight: Callable[[], int],
+        on_draining: Callable[[], None],
         stop_accepting: Callable[[], None],
         on_stopped: Callable[[], None],
     ) -> None:
@@ -45,6 +47,7 @@
         Args:
             timers: Drive the steps.
             in_flight: Returns the requests that are not answered yet.
+            on_draining: Called once new requests are to be refused.
             stop_accepting: Closes the listener for callers.
             on_stopped: Called once at the end.
         """
@@ -52,6 +55,7 @@
         self.is_draining = False
         self._timers = timers
         self._in_flight = in_flight
+        self._on_draining = on_draining
         self._stop_accepting = stop_accepting
         self._on_stopped: Callable[[], None] | None = on_stopped
         self._ends_at: float = 0
@@ -67,6 +71,7 @@
 
     def _drain(self) -> None:
         self.is_draining = True
+        self._on_draining()
         self._timers.every(_PERIOD, self._check)
 
     def _check(self) -> None:
--- a/bluebellsill/mesh_node.py
+++ b/bluebellsill/mesh_node.py
@@ -109,6 +109,7 @@
         self._stop = GracefulStop(
             self._timers,
             lambda: self._runner.in_flight + self._gateway.in_flight,
+            self._on_draining,
             self._caller_server.stop_accepting,
             self._on_stopped,
         )
@@ -328,15 +329,19 @@
         self._log.info('reloaded', bounds=settings.bounds)
 
     def _leave(self) -> None:
-        """Take no new work and begin the graceful shutdown."""
-        self._acceptance.is_leaving = True
-        self._feed_reader.is_stopped = True
+        """Begin the graceful shutdown."""
+        self._feed_reader.stop()
         self._discovery.is_stopped = True
         self._caller_server.is_closing = True
+        self._peers.gossip_task.push()
+        self._stop.begin(self._bounds.grace_s)
+
+    def _on_draining(self) -> None:
+        """Take no new work."""
+        self._acceptance.is_leaving = True
         self._runner.refuse_queue(ErrorKind.LEAVING)
         self._peers.members.restate(state=MemberState.LEAVING)
         self._peers.gossip_task.push()
-        self._stop.begin(self._bounds.grace_s)
 
     def _on_stopped(self) -> None:
         self._peers.members.restate(state=MemberState.GONE)
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -264,6 +264,27 @@
     assert not lost
 
 
+def test_last_target_of_a_service_serves_while_its_node_is_left(
+    deployment: MeshDeployment,
+) -> None:
+    """Callers take two seconds to leave a node that was asked to stop."""
+    alone = deployment.add('a', 'solo')
+    deployment.declare([*_ROUTES, _route('/solo/', 'solo')])
+    entry = deployment.vms[0]
+    wait_until(
+        lambda: deployment.call(entry, '/solo/x').status == 200,
+        'the service is there',
+    )
+    deployment.stop_node(alone)
+    statuses = []
+    ends_at = time.monotonic() + 1.5
+    while time.monotonic() < ends_at:
+        statuses.append(deployment.call(entry, '/solo/x').status)
+    assert set(statuses) == {200}
+    assert alone.node is not None
+    assert alone.node.wait(7) == 0
+
+
 def _call_on(
     connection: http.client.HTTPConnection, replies: list[Reply]
 ) -> None:
