--- a/bluebellsill/metrics.py
+++ b/bluebellsill/metrics.py
@@ -6,18 +6,11 @@
 from typing import TYPE_CHECKING, Any
 
 from hdrh.histogram import HdrHistogram
-from prometheus_client import CollectorRegistry, generate_latest
-from prometheus_client.core import (
-    CounterMetricFamily,
-    GaugeMetricFamily,
-)
 
 from bluebellsill.resources import DEFAULT_CLASS
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator
-
-    from prometheus_client import Metric
+    from collections.abc import Callable, Mapping
 
 __all__ = ('Latencies', 'Metrics', 'summarize')
 
@@ -87,36 +80,14 @@
             tenant = _OTHER
         self._by_tenant[tenant].record(seconds)
 
-    def exposition(self) -> bytes:
-        """Return everything in the text format of Prometheus."""
-        registry = CollectorRegistry()
-        registry.register(self)
-        return generate_latest(registry)
-
-    def collect(self) -> Iterator[Metric]:
-        """Yield everything as the families of a Prometheus collector."""
-        events = CounterMetricFamily(
-            'bluebellsill_events',
-            'What became of requests, and what it cost',
-            labels=('event',),
-        )
-        for name, count in self.counts.items():
-            events.add_metric((name,), count)
-        yield events
-        gauges = GaugeMetricFamily(
-            'bluebellsill_state',
-            'What the node has now',
-            labels=('of',),
-        )
-        for name, read in self.gauges.items():
-            gauges.add_metric((name,), read())
-        yield gauges
-        for kind, by_name in (
-            ('service', self._by_service),
-            ('class', self._by_class),
-            ('tenant', self._by_tenant),
-        ):
-            yield _latencies(kind, by_name)
+    @property
+    def latencies_by_kind(self) -> Mapping[str, Mapping[str, Latencies]]:
+        """The histograms of services, classes and tenants, by their names."""
+        return {
+            'service': self._by_service,
+            'class': self._by_class,
+            'tenant': self._by_tenant,
+        }
 
     def document(self) -> dict[str, Any]:
         """Return everything as JSON types."""
@@ -131,18 +102,3 @@
 def summarize(by_name: dict[str, Latencies]) -> dict[str, dict[str, float]]:
     """Return the summary of each histogram."""
     return {name: one.summary() for name, one in by_name.items()}
-
-
-def _latencies(
-    kind: str,
-    by_name: dict[str, Latencies],
-) -> GaugeMetricFamily:
-    family = GaugeMetricFamily(
-        f'bluebellsill_{kind}_latency_milliseconds',
-        f'Latencies of answered requests by {kind}',
-        labels=(kind, 'statistic'),
-    )
-    for name, one in by_name.items():
-        for statistic, figure in one.summary().items():
-            family.add_metric((name, statistic), figure)
-    return family
--- a/bluebellsill/platform/endpoints.py
+++ b/bluebellsill/platform/endpoints.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from http import HTTPStatus
+from importlib import import_module
 from typing import TYPE_CHECKING, Annotated, Literal
 
 from msgspec import DecodeError, Meta, Struct, json
@@ -181,10 +182,21 @@
         if request.path != METRICS_PATH:
             reply.send(Response(HTTPStatus.NOT_FOUND))
             return
-        body = self._metrics.exposition()
+        body = _exposition(self._metrics)
         reply.send(Response(HTTPStatus.OK, [_TEXT], body))
 
 
+def _exposition(metrics: Metrics) -> bytes:
+    """Return the metrics as text.
+
+    The library is loaded when it is first needed: it would take a tenth
+    of a node's start, and callers wait for that.
+    """
+    module = import_module('bluebellsill.exposition')
+    text: bytes = module.exposition(metrics)
+    return text
+
+
 def _decoded(name: str, report: Report) -> TargetReport:
     return TargetReport(
         name,
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import subprocess
+import sys
+
 import pytest
 from hdrh.histogram import HdrHistogram
 
 from bluebellsill import metrics
+from bluebellsill.exposition import exposition
 from bluebellsill.metrics import Metrics
 
 
@@ -53,3 +57,23 @@
     assert list(document['by_class']) == ['bookings/payments']
     assert document['by_class']['bookings/payments']['count'] == 1
     assert document['by_service']['bookings']['count'] == 2
+
+
+def test_exposition_tells_counts_gauges_and_latencies() -> None:
+    found = Metrics()
+    found.counts['answered'] += 3
+    found.gauges['members'] = lambda: 7
+    found.record('bookings', 'payments', 'club', 0.02)
+    text = exposition(found).decode()
+    assert 'bluebellsill_events_total{event="answered"} 3.0' in text
+    assert 'bluebellsill_state{of="members"} 7.0' in text
+    assert 'class="bookings/payments",statistic="count"} 1.0' in text
+
+
+def test_node_starts_without_what_only_its_metrics_page_needs() -> None:
+    code = (
+        'import sys, bluebellsill.mesh_node;'
+        'sys.exit("prometheus_client" in sys.modules)'
+    )
+    done = subprocess.run([sys.executable, '-c', code], timeout=30)
+    assert done.returncode == 0
