Tell new tries from new requests, and count a cold target's work as twice as long

A refused caller comes again, and its try was queued by a whole target latency of its own, though most of that had passed: late requests took the slots of new ones. At the same time cold targets, which work at half of their pace, were given calls that could not end in time.

Ruled out: slots that stay free (the gates were full), calls of targets (59 of 66 served), the start of the nodes (0.45 to 0.75 s after the power).

Change: a try with the content and the end of the caller's patience of a request that was not served counts from that one's first try (Repeats). The gate counts work by the pace of the target's calm moments, and gives a cold target what the platform's bound lets it have, one below it. Retry-After goes by what the caller has left, not by what the route has.

--- a/bluebellsill/calls.py
+++ b/bluebellsill/calls.py
@@ -131,7 +131,7 @@
         inbound = self._inbound
         if not inbound.route.target_latency:
             return 0
-        elapsed = self._links.now() - inbound.received_at
+        elapsed = self._links.now() - inbound.first_at
         wanted = _USABLE_SHARE * inbound.route.target_latency
         return max(1, int((wanted - elapsed) * 1000))
 
@@ -220,6 +220,7 @@
             'service': inbound.service_name,
             'tried': self.dispatch.tried,
             'after_ms': int(seconds * 1000),
+            'repeats_ms': int((inbound.received_at - inbound.first_at) * 1000),
         }
         if isinstance(outcome, Response):
             self._log.info('call answered', status=outcome.status, **fields)
--- a/bluebellsill/filters.py
+++ b/bluebellsill/filters.py
@@ -50,7 +50,10 @@
         service_name: The service that the call goes to.
         service: The declared service.
         route: How the request is handled.
-        deadline: When the caller waits no longer.
+        deadline: When the caller is answered at the latest: when it gives
+            up, or earlier if the route says so.
+        gives_up_at: When the caller waits no longer.
+        first_at: When its first try arrived, if this one repeats it.
         fingerprint: A hash that equal requests share.
         tenant: Whom the call is counted for.
         granted_by: The nodes that hold the claim of the key.
@@ -64,10 +67,16 @@
     service: Service = Service()
     route: Route = Route('')
     deadline: float = 0
+    gives_up_at: float = 0
+    first_at: float = 0
     fingerprint: int = 0
     tenant: str = ''
     granted_by: list[str] = field(default_factory=list)
 
+    def __post_init__(self) -> None:
+        """Take the request for a new one."""
+        self.first_at = self.received_at
+
     @property
     def is_idempotent(self) -> bool:
         """Whether running the request twice does no harm."""
@@ -162,6 +171,9 @@
                 return Err(Problem(ErrorKind.BAD_REQUEST, message))
             budget_ms = min(budget_ms, int(text))
         inbound.deadline = inbound.received_at + budget_ms / 1000
+        inbound.gives_up_at = inbound.deadline
+        if text:
+            inbound.gives_up_at = inbound.received_at + int(text) / 1000
         if self._now() >= inbound.deadline:
             message = f'deadline of {budget_ms} ms has passed'
             return Err(Problem(ErrorKind.EXPIRED, message))
--- a/bluebellsill/gateway.py
+++ b/bluebellsill/gateway.py
@@ -15,6 +15,7 @@
 from bluebellsill.http_server import Reply
 from bluebellsill.keyed_call import KeyedCall
 from bluebellsill.logs import get_logger
+from bluebellsill.repeats import Repeats
 from bluebellsill.resources import OUTSIDE
 
 if TYPE_CHECKING:
@@ -68,6 +69,7 @@
         self._metrics = metrics
         self._key_holders = key_holders
         self._asks_first = asks_first
+        self._repeats = Repeats()
         self._clock = links.reactor.timers.clock
         self._log = get_logger('gateway')
 
@@ -85,7 +87,9 @@
             # Of a request with a key, an earlier try may have run.
             run = Run.UNKNOWN if inbound.key else None
             self._answer(inbound, reply, refused.err_value, run)
-        elif inbound.key and self._key_holders is not None:
+            return
+        self._recognize(inbound)
+        if inbound.key and self._key_holders is not None:
             self._handle_keyed(inbound, reply, self._key_holders)
         else:
             self._handle_plain(inbound, reply)
@@ -123,6 +127,26 @@
             inbound.received_at,
         ).start()
 
+    def _recognize(self, inbound: Inbound) -> None:
+        """Find out whether the caller has sent the request before."""
+        if inbound.caller != OUTSIDE:
+            return
+        inbound.first_at = self._repeats.first_at(
+            inbound.fingerprint,
+            inbound.gives_up_at,
+            inbound.received_at,
+        )
+
+    def _expect_again(self, inbound: Inbound) -> None:
+        """Remember a request that was not served."""
+        if inbound.caller == OUTSIDE:
+            self._repeats.on_unserved(
+                inbound.fingerprint,
+                inbound.gives_up_at,
+                inbound.first_at,
+                self._clock.now(),
+            )
+
     def _inbound(self, request: Request, caller: str) -> Inbound:
         self.in_flight += 1
         return Inbound(
@@ -168,6 +192,7 @@
             after_ms=self._elapsed_ms(inbound),
         )
         placed.cancel()
+        self._expect_again(inbound)
 
     def _answer(
         self,
@@ -180,9 +205,12 @@
         if isinstance(outcome, Problem):
             self._note_status(inbound, outcome.answer.status)
             self._log_problem(inbound, outcome)
+            self._expect_again(inbound)
             reply.send(self._interface.problem(inbound, outcome, run))
             return
         self._note_status(inbound, outcome.status)
+        if outcome.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+            self._expect_again(inbound)
         self._metrics.counts['answered'] += 1
         self._metrics.record(
             inbound.service_name,
--- a/bluebellsill/mesh_node.py
+++ b/bluebellsill/mesh_node.py
@@ -47,6 +47,7 @@
 from bluebellsill.route_interface import RouteInterface
 from bluebellsill.shared_budget import shared_budget
 from bluebellsill.slot_gate import SlotGate
+from bluebellsill.start_pace import ColdRules
 from bluebellsill.streams import Address
 from bluebellsill.target_lives import Departure, TargetLives, TargetReport
 from bluebellsill.target_runner import TargetRunner
@@ -59,7 +60,7 @@
 
     from bluebellsill.http import Request
     from bluebellsill.http_server import Reply
-    from bluebellsill.mesh_settings import MeshSettings
+    from bluebellsill.mesh_settings import BoundSettings, MeshSettings
 
 __all__ = ('MeshNode',)
 
@@ -218,7 +219,7 @@
             self,
             self._quarantine,
             self._metrics,
-            SlotGate(self._bounds.cold_excess),
+            SlotGate(_cold_rules(self._bounds)),
             PlatformDialect(),
             WatchRules(
                 announcement_lifetime=_REPORT_LIVES * period,
@@ -395,5 +396,10 @@
         self._gateway.handle(request, reply, caller)
 
 
+def _cold_rules(bounds: BoundSettings) -> ColdRules:
+    # One below the bound: a probe may be taken for a request.
+    return ColdRules(bounds.cold_excess, max(0, bounds.cold_slack - 1))
+
+
 def _flush() -> None:
     flush_logs()
--- a/bluebellsill/mesh_settings.py
+++ b/bluebellsill/mesh_settings.py
@@ -81,7 +81,8 @@
         retry_budget_ratio: Repeated requests for each request to a service.
         budget_window_s: Seconds over which that is counted.
         budget_extra: Repeated requests in a window beside that.
-        cold_excess: By what a cold target's rate may be exceeded.
+        cold_excess: By what factor a cold target's rate may be exceeded.
+        cold_slack: Requests in a second beside that.
     """
 
     grace_s: Positive = 6
@@ -89,6 +90,7 @@
     budget_window_s: Positive = 10
     budget_extra: Annotated[float, Meta(ge=0)] = 50
     cold_excess: Positive = 1
+    cold_slack: Annotated[float, Meta(ge=0)] = 0
 
 
 class MeshSettings(Struct, frozen=True):
--- a/bluebellsill/route_interface.py
+++ b/bluebellsill/route_interface.py
@@ -161,7 +161,7 @@
             # This status says nothing of whether the request has run.
             response.status = HTTPStatus.SERVICE_UNAVAILABLE.value
         if response.status == HTTPStatus.SERVICE_UNAVAILABLE:
-            left = inbound.deadline - self._clock.now()
+            left = inbound.gives_up_at - self._clock.now()
             seconds = retry_after(problem, left)
             response.headers.append(('retry-after', f'{seconds:.3f}'))
         return response
--- a/bluebellsill/slot_gate.py
+++ b/bluebellsill/slot_gate.py
@@ -12,7 +12,7 @@
 from bluebellsill.admission import CallCounter, Decision, Ticket
 from bluebellsill.crowding import Crowding
 from bluebellsill.slowness import Slowness
-from bluebellsill.start_pace import StartPace
+from bluebellsill.start_pace import STRICT, ColdRules, StartPace
 from bluebellsill.work_times import WorkTimes
 
 __all__ = ('SlotGate',)
@@ -41,15 +41,15 @@
     to be asked for its slowness.
     """
 
-    def __init__(self, cold_excess: float = 1) -> None:
+    def __init__(self, cold_rules: ColdRules = STRICT) -> None:
         """Create the gate of a target that has not said anything.
 
         Args:
-            cold_excess: By what the rate may be exceeded that a cold target
-                states, where the platform allows more.
+            cold_rules: What a cold target may get beside the rate that it
+                states.
         """
         super().__init__()
-        self._cold_excess = cold_excess
+        self._cold_rules = cold_rules
         self.pace = StartPace()
         self.slowness = Slowness()
         self._crowding = Crowding(1)
@@ -149,7 +149,7 @@
     def expected_wait(self, ticket: Ticket, now: float) -> float:
         """Return the seconds until a call would get a slot."""
         free = [float() for _ in range(self.limit - len(self._running))]
-        free += [_left(one, self._work(one), now) for one in self._running]
+        free += [_left(one, self._usual(one), now) for one in self._running]
         heapify(free)
         mine = _order(ticket, self._work(ticket), now)
         delay = self.slowness.usual_delay
@@ -187,7 +187,7 @@
         if cold_until > self.pace.cold_until + _SAME_COLD:
             self.slowness.forget_calm()
         self.pace.cold_until = cold_until
-        self.pace.per_second = self._cold_excess * per_second
+        self.pace.per_second = self._cold_rules.per_second(per_second)
 
     def resize(self, slots: int) -> None:
         """Set how many requests the target runs at a time."""
@@ -215,13 +215,17 @@
             return not slowness.is_slow or slowness.costs(work) <= _DETOUR
         if not slowness.gains_by_waiting(work):
             return True
-        return now + work * slowness.factor >= ticket.expires_at
+        return now + work * slowness.excess >= ticket.expires_at
 
     def _may_start(self, now: float) -> bool:
         has_slot = len(self._running) < self.limit
         return has_slot and not self.pace.wait(now)
 
     def _work(self, ticket: Ticket) -> float:
+        """Return the seconds that a call takes from a calm moment on."""
+        return self._usual(ticket) * self.slowness.calm_factor
+
+    def _usual(self, ticket: Ticket) -> float:
         return self._times.expected(ticket.route) or _FIRST_WORK
 
     def _start(self, ticket: Ticket, now: float) -> None:
@@ -232,11 +236,11 @@
         ticket.level = len(self._running)
 
 
-def _left(ticket: Ticket, work: float, now: float) -> float:
+def _left(ticket: Ticket, usual: float, now: float) -> float:
     """Return the seconds that a running call still needs."""
-    usual = work * ticket.slowness
-    left = ticket.started_at + usual - now
-    return left if left > 0 else usual * _OVERRUN
+    work = usual * ticket.slowness
+    left = ticket.started_at + work - now
+    return left if left > 0 else work * _OVERRUN
 
 
 def _order(
--- a/bluebellsill/slowness.py
+++ b/bluebellsill/slowness.py
@@ -101,7 +101,7 @@
         """Return whether work ends sooner if it waits for the spell's end.
 
         Args:
-            work: The seconds that it usually takes.
+            work: The seconds that it takes from a calm moment on.
         """
         return self.is_slow and self.costs(work) > self.expected_rest
 
@@ -109,9 +109,9 @@
         """Return the seconds that a start now takes longer than a calm one.
 
         Args:
-            work: The seconds that it usually takes.
+            work: The seconds that it takes from a calm moment on.
         """
-        return work * (self.factor - self.calm_factor)
+        return work * (self.excess - 1)
 
     def _note_calm(self, factor: float, now: float) -> None:
         while self._lately and self._lately[0][0] < now - _CALM_MEMORY:
--- a/bluebellsill/start_pace.py
+++ b/bluebellsill/start_pace.py
@@ -3,10 +3,35 @@
 from __future__ import annotations
 
 from collections import deque
+from dataclasses import dataclass
 
-__all__ = ('StartPace',)
+__all__ = ('STRICT', 'ColdRules', 'StartPace')
 
-_WINDOW = 1.0  # seconds; cold targets state what they bear a second
+_SECOND = 1.0  # seconds; cold targets state what they bear a second
+# Seconds by which the times of arrival differ at most from those of the
+# starts: a new connection takes some milliseconds, a busy node longer.
+_JITTER = 0.05
+_WINDOW = _SECOND + _JITTER
+
+
+@dataclass(frozen=True, slots=True)
+class ColdRules:
+    """By what a platform lets nodes exceed what a cold target states.
+
+    Attributes:
+        factor: Times the rate that the target states.
+        slack: Requests in a second beside that.
+    """
+
+    factor: float = 1
+    slack: float = 0
+
+    def per_second(self, stated: float) -> float:
+        """Return the starts in a second, by the rate that a target states."""
+        return self.factor * stated + self.slack
+
+
+STRICT = ColdRules()
 
 
 class StartPace:
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -264,6 +264,42 @@
     assert not lost
 
 
+def test_refused_request_that_comes_again_is_recognized(
+    deployment: MeshDeployment,
+) -> None:
+    for zone in _ZONES:
+        deployment.set_zone_out(zone, is_out=True)
+    vm = deployment.vms[0]
+    wait_until(
+        lambda: deployment.call(vm, '/shop/wait').status == 503,
+        'all zones are out',
+    )
+    began = time.monotonic()
+    gives_up_at = began + 2
+
+    def call() -> Reply:
+        left = int(1000 * (gives_up_at - time.monotonic()))
+        return deployment.call(vm, '/shop/again', deadline_ms=left)
+
+    assert call().status == 503
+    time.sleep(0.3)
+    assert call().status == 503
+    assert deployment.call(vm, '/shop/again', deadline_ms=900).status == 503
+    repeats = [
+        line['repeats_ms']
+        for line in _log_lines(deployment, vm)
+        if line['event'] == 'call not answered'
+    ][-3:]
+    assert repeats[0] == 0
+    assert 300 <= repeats[1] < 600
+    assert repeats[2] == 0
+
+
+def _log_lines(found: MeshDeployment, vm: Any) -> list[dict[str, Any]]:
+    text = (found.folder / f'{vm.name}.log').read_text(encoding='utf-8')
+    return [json.loads(line) for line in text.splitlines() if line[:1] == '{']
+
+
 def test_last_target_of_a_service_serves_while_its_node_is_left(
     deployment: MeshDeployment,
 ) -> None:
--- a/tests/test_slot_gate.py
+++ b/tests/test_slot_gate.py
@@ -11,6 +11,7 @@
 
 from bluebellsill.admission import Decision, Ticket
 from bluebellsill.slot_gate import SlotGate
+from bluebellsill.start_pace import ColdRules
 
 _SLOTS = 6
 _WORK = 0.1  # seconds
@@ -118,6 +119,32 @@
         assert sum(start <= one < start + 1 for one in starts) <= 7
 
 
+def test_cold_target_gets_what_the_platform_lets_it_have() -> None:
+    rules = ColdRules(factor=1.5, slack=4)
+    gate = SlotGate(rules)
+    gate.resize(50)
+    gate.set_cold(10, 8)
+    starts = 0
+    for step in range(100):
+        gate.on_slowness(1, step / 100)
+        ticket = Ticket(1, 20)
+        starts += gate.offer(ticket, step / 100)[0] is Decision.RUN
+        starts += len(gate.admit(step / 100))
+    assert starts == 16
+
+
+def test_call_that_a_cold_target_would_answer_late_is_refused() -> None:
+    """Work of 100 ms takes 200 ms there, and 150 ms are left."""
+    gate = _gate(1)
+    _learn(gate, _WORK)
+    gate.set_cold(10, 8)
+    gate.on_slowness(2, 1)
+    running = Ticket(1, 9)
+    assert gate.offer(running, 1)[0] is Decision.RUN
+    waiting = Ticket(1, 9, wanted_at=1.35)
+    assert gate.offer(waiting, 1)[0] is Decision.REFUSE
+
+
 @given(st.integers(1, 8), st.integers(0, 2**32))
 def test_slots_are_never_exceeded(slots: int, seed: int) -> None:
     random = Random(seed)
