Soak behind a proxy, with kept connections, overlapping faults and wrong clocks

The soak had no proxy, made each call on a connection of its own, and injected one fault at a time. Now each path to peers, store and target leads through a proxy on loopback that delays, cuts one way or both, resets and silences; two series of faults run beside each other; callers keep their connections until the process is gone; nodes run with clocks that are seconds or an hour off; the store forgets the nodes' entries. It checks, besides what it did: read requests are answered, leaving targets get nothing after their bound, cold ones no more than they bear, no node goes back to an older version. The product got listen.advertised_peers for this.

--- a/bluebellsill/mesh_node.py
+++ b/bluebellsill/mesh_node.py
@@ -170,6 +170,7 @@
             self._random,
             self._state,
             lambda: self._runner.in_flight,
+            advertised=settings.listen.advertised_peers or '',
         )
         self._peers.swim.seeds = [
             str(address._replace(host=Address.parse(seed).host))
--- a/bluebellsill/mesh_settings.py
+++ b/bluebellsill/mesh_settings.py
@@ -39,11 +39,14 @@
     """Where the node listens.
 
     Attributes:
-        peers: For other nodes, by TCP and UDP; names the node.
+        peers: For other nodes, by TCP and UDP; names the node, unless
+            ``advertised_peers`` does.
         callers: For callers on the VM and for the target's own calls.
         reports: For the reports of the target.
         ready: For the platform's question whether the node takes callers.
         metrics: For the metrics.
+        advertised_peers: Where other nodes reach ``peers``, if that is
+            another address, for example behind a port that is forwarded.
     """
 
     peers: AddressText
@@ -51,6 +54,7 @@
     reports: AddressText
     ready: AddressText
     metrics: AddressText
+    advertised_peers: AddressText | None = None
 
 
 class MeshTargetSettings(Struct, frozen=True):
--- a/bluebellsill/peer_stack.py
+++ b/bluebellsill/peer_stack.py
@@ -49,6 +49,7 @@
         replica: SharedReplica,
         load: Callable[[], int],
         rollout: Rollout | None = None,
+        advertised: str = '',
     ) -> None:
         """Bind the port that names the node.
 
@@ -61,13 +62,14 @@
             load: Returns the calls in flight at the target.
             rollout: Notes which nodes have a revision in force; None where
                 nobody asks.
+            advertised: Where others reach the node, empty for ``address``.
 
         Raises:
             OSError: The address cannot be bound.
         """
         self.server, self.gossip = bind_peers(reactor, address)
         own = Member(
-            str(self.server.address),
+            advertised or str(self.server.address),
             int(time() * _MILLISECONDS),
             0,
             int(MemberState.JOINING),
--- a/bluebellsill/platform/node_keys.py
+++ b/bluebellsill/platform/node_keys.py
@@ -23,10 +23,10 @@
         KvStore,
     )
 
-__all__ = ('LEASE_SECONDS', 'NodeKeys')
+__all__ = ('LEASE_SECONDS', 'NODE_PREFIX', 'NodeKeys')
 
 LEASE_SECONDS = 600.0  # seconds; the longest that the platform grants
-_PREFIX = 'bluebellsill/nodes/'
+NODE_PREFIX = 'bluebellsill/nodes/'
 
 
 class _NodeValue(Struct, frozen=True):
@@ -57,7 +57,7 @@
             entries = [self._entry(item) for item in done.ok_value.items]
             on_done(Ok([entry for entry in entries if entry is not None]))
 
-        self._store.range(_PREFIX, '', on_page, may_be_old=True)
+        self._store.range(NODE_PREFIX, '', on_page, may_be_old=True)
 
     def register(
         self,
@@ -72,7 +72,7 @@
                 return
             self._lease = done.ok_value
             write = KvWrite(
-                f'{_PREFIX}{entry.node_id}',
+                f'{NODE_PREFIX}{entry.node_id}',
                 json.encode(_NodeValue(entry.zone)),
                 0,
                 self._lease,
@@ -103,7 +103,7 @@
         )
 
     def _entry(self, item: Item) -> DirectoryEntry | None:
-        node_id = item.key.removeprefix(_PREFIX)
+        node_id = item.key.removeprefix(NODE_PREFIX)
         try:
             node_value = json.decode(item.value, type=_NodeValue)
         except DecodeError as error:
--- a/bluebellsill/standins/mesh_target.py
+++ b/bluebellsill/standins/mesh_target.py
@@ -48,7 +48,6 @@
 _REPORT_PERIOD = 0.5  # seconds
 _REPORT_TIMEOUT = 1.0  # seconds
 _CALL_TIMEOUT = 5.0  # seconds; a call ends with its deadline before
-_LINGER = 1.0  # seconds for which a target serves on after its farewell
 _CRASH_EXIT = 70
 _SECOND = 1000  # milliseconds
 _PERCENT = 100
@@ -68,6 +67,8 @@
         slots: The requests that it runs at a time.
         ledger: A file to which each run is appended, empty for none; it
             outlives the target.
+        advertised: The address that it reports, empty for its own.
+        linger: Seconds for which it serves on after it said that it leaves.
     """
 
     service: str
@@ -76,6 +77,8 @@
     callers: str
     slots: int = 6
     ledger: str = ''
+    advertised: str = ''
+    linger: float = 1.0
 
 
 class MeshBehaviour(Struct, frozen=True, forbid_unknown_fields=True):
@@ -128,6 +131,8 @@
         self._born = int(time() * _SECOND)
         self._sequence = 0
         self._is_leaving = False
+        self._left_at: float = 0
+        self._cold_since: float = 0
         self._jobs: set[_Job] = set()
         self._waiting: deque[_Job] = deque()
         self._counts: Counter[str] = Counter()
@@ -149,7 +154,7 @@
         """Say that no new work is wanted, linger, say farewell and end."""
         self._is_leaving = True
         self._report()
-        self.timers.after(_LINGER, self._say_farewell)
+        self.timers.after(self._settings.linger, self._say_farewell)
 
     def _say_farewell(self) -> None:
         request = Request('DELETE', f'{REPORT_PREFIX}{self._name}')
@@ -161,7 +166,7 @@
         self._sequence += 1
         settings = self._settings
         report = Report(
-            str(self.address),
+            settings.advertised or str(self.address),
             Info(settings.service, 'v1', settings.zone, settings.slots),
             Status(
                 'draining' if self._is_leaving else 'ready',
@@ -179,6 +184,8 @@
             done.ok_value.status == HTTPStatus.OK
         )
         self._counts['reports' if is_taken else 'reports_lost'] += 1
+        if is_taken and self._is_leaving and not self._left_at:
+            self._left_at = time()
 
     def _on_request(self, request: Request, reply: Reply) -> None:
         path, _, query = request.path.partition('?')
@@ -191,6 +198,7 @@
             reply.send(json_response(HTTPStatus.OK, document))
         elif path == _BEHAVIOUR_PATH:
             self._behaviour = json.decode(request.body, type=MeshBehaviour)
+            self._cold_since = time() if self._behaviour.cold_seconds else 0
             reply.send(json_response(HTTPStatus.OK, {}))
         elif path == _HEALTH_PATH:
             self._answer_probe(reply)
@@ -259,13 +267,18 @@
         settings = self._settings
         if not settings.ledger:
             return
+        now = time()
         line = json.encode(
             {
-                'at': time(),
+                'at': now,
                 'id': request.header(REQUEST_ID),
                 'method': request.method,
                 'service': settings.service,
                 'zone': settings.zone,
+                'by': self._name,
+                # Seconds since it was told that the target leaves.
+                'left_s': now - self._left_at if self._left_at else 0,
+                'cold_s': now - self._cold_since if self._cold_since else 0,
             },
         )
         with Path(settings.ledger).open('ab') as ledger:
--- a/demo/mesh_harness.py
+++ b/demo/mesh_harness.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING, Any
 
 from bluebellsill.platform.headers import DEADLINE, REQUEST_ID
+from bluebellsill.platform.node_keys import NODE_PREFIX
 from bluebellsill.platform.operator_keys import DOCUMENT_KEY, ZONE_PREFIX
 from bluebellsill.platform.routing_document import HOSTS_FIELD, RULES_FIELD
 from demo.program import Process
@@ -48,6 +49,7 @@
     service: str
     ports: dict[str, str]
     settings: Path
+    command: list[str] = field(default_factory=list)
     node: Process | None = None
     target: Process | None = None
 
@@ -88,12 +90,25 @@
 class MeshDeployment:
     """A stand-in store, nodes and a stand-in target beside each."""
 
-    def __init__(self, folder: Path) -> None:
-        """Start the store; logs and settings go to ``folder``."""
+    def __init__(
+        self,
+        folder: Path,
+        reach: Callable[[str, str, str], str] | None = None,
+    ) -> None:
+        """Start the store; logs and settings go to ``folder``.
+
+        Args:
+            folder: An empty folder.
+            reach: Returns the address by which others reach a listener, by
+                the VM's name, the listener's name and its address; None
+                where they reach it directly.
+        """
         self.folder = folder
+        self._reach = reach or _directly
         self.ledger = folder / 'ledger.jsonl'
         self.vms: list[Vm] = []
         self.version = 0
+        self.linger = 1.0
         command = ['bluebellsill-standin', 'kv-store']
         self.store = Process(command, folder / 'store.log')
         self.store.read_listening()
@@ -117,7 +132,8 @@
 
     def start_node(self, vm: Vm) -> None:
         """Start the node of a VM."""
-        command = ['bluebellsill-mesh', str(vm.settings)]
+        command = vm.command or ['bluebellsill-mesh']
+        command = [*command, str(vm.settings)]
         log = self.folder / f'{vm.name}.log'
         vm.node = Process(command, log, output_to_log=True)
 
@@ -134,9 +150,11 @@
             {
                 'service': vm.service,
                 'zone': vm.zone,
-                'reports': vm.ports['reports'],
+                'reports': self._address(vm, 'reports'),
                 'callers': vm.ports['callers'],
                 'ledger': str(self.ledger),
+                'advertised': self._address(vm, 'target'),
+                'linger': self.linger,
             },
         )
         command = [
@@ -182,6 +200,13 @@
         """Let the store forget its history and cut its watches."""
         fetch(self.store.listening, 'DELETE', '/_history')
 
+    def store_forgets_nodes(self) -> None:
+        """Let the store lose the entries of the nodes without a word."""
+        stats = json.loads(fetch(self.store.listening, 'GET', '/_stats').body)
+        for key in stats['keys']:
+            if key.startswith(NODE_PREFIX):
+                self.operate('DELETE', key)
+
     def change_target(self, vm: Vm, **behaviour: Any) -> None:
         """Let the target of a VM misbehave."""
         body = json.dumps(behaviour).encode()
@@ -209,6 +234,10 @@
             http.client.OK
         )
 
+    def is_listening(self, vm: Vm) -> bool:
+        """Return whether the node of a VM answers the platform at all."""
+        return bool(fetch(vm.ports['ready'], 'GET', '/ready').status)
+
     def call(
         self,
         vm: Vm,
@@ -247,6 +276,10 @@
         if vm.node is not None:
             vm.node.send(signal.SIGTERM)
 
+    def _address(self, vm: Vm, listener: str) -> str:
+        known = {**vm.ports, 'store': str(self.store.listening)}
+        return self._reach(vm.name, listener, known[listener])
+
     def _write_settings(self, vm: Vm, *, is_first: bool) -> None:
         ports = vm.ports
         vm.settings.write_text(
@@ -262,12 +295,13 @@
                         for name in ports
                         if name != 'target'
                     ),
+                    f'advertised_peers = "{self._address(vm, "peers")}"',
                     '[target]',
                     f'service = "{vm.service}"',
-                    f'address = "{ports["target"]}"',
+                    f'address = "{self._address(vm, "target")}"',
                     'report_period_ms = 500',
                     '[store]',
-                    f'address = "{self.store.listening}"',
+                    f'address = "{self._address(vm, "store")}"',
                     '[bounds]',
                     'grace_s = 6',
                 ),
@@ -276,10 +310,17 @@
         )
 
 
+def _directly(vm: str, listener: str, address: str) -> str:
+    return address
+
+
 @contextmanager
-def running(folder: Path) -> Iterator[MeshDeployment]:
+def running(
+    folder: Path,
+    reach: Callable[[str, str, str], str] | None = None,
+) -> Iterator[MeshDeployment]:
     """Run a deployment and end it whatever happens."""
-    deployment = MeshDeployment(folder)
+    deployment = MeshDeployment(folder, reach)
     try:
         yield deployment
     finally:
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -16,6 +16,9 @@
     parser.add_argument('--first', type=int, default=1, help='the first seed')
     parser.add_argument('--seeds', type=int, default=5, help='how many')
     parser.add_argument('--seconds', type=float, default=12, help='of each')
+    parser.add_argument(
+        '--targets', type=int, default=1, help='of a service in a zone'
+    )
     parser.add_argument('--keep', type=Path, help='keep logs of failed seeds')
     options = parser.parse_args()
     broken = 0
@@ -23,7 +26,7 @@
         folder = Path(
             tempfile.mkdtemp(prefix=f'soak-{seed}-', dir=options.keep)
         )
-        outcome = soak(folder, seed, options.seconds)
+        outcome = soak(folder, seed, options.seconds, targets=options.targets)
         broken += bool(outcome.faults)
         statuses = dict(sorted(outcome.statuses.items()))
         sys.stdout.write(f'seed {seed}: {statuses}, {len(outcome.injected)}')
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,110 @@
+"""Callers that keep their connections open until a process is gone."""
+
+from __future__ import annotations
+
+import http.client
+import time
+from dataclasses import dataclass
+from random import Random
+from threading import Event, Thread
+from typing import TYPE_CHECKING
+
+from bluebellsill.platform.headers import DEADLINE, REQUEST_ID
+from demo.mesh_harness import HOST
+
+if TYPE_CHECKING:
+    from demo.mesh_harness import MeshDeployment, Vm
+
+_PAUSE = 0.02  # seconds between the calls of one caller
+_DEADLINE = 2.0  # seconds that a caller waits
+_KEEPS = 20  # calls on one connection at most
+_CLOSED = (ConnectionError, http.client.HTTPException, OSError)
+
+
+@dataclass(frozen=True)
+class Seen:
+    """What a caller got; status 0 without an answer."""
+
+    name: str
+    vm: str
+    method: str
+    status: int
+    body: bytes
+    sent_at: float
+    ended_at: float
+
+
+class Caller:
+    """Calls random nodes, several times on each connection."""
+
+    def __init__(
+        self,
+        deployment: MeshDeployment,
+        prefix: str,
+        seed: int,
+        is_over: Event,
+    ) -> None:
+        self.seen: list[Seen] = []
+        self._deployment = deployment
+        self._prefix = prefix
+        self._random = Random(seed)
+        self._is_over = is_over
+        self._thread = Thread(target=self._run)
+
+    def start(self) -> None:
+        """Begin to call."""
+        self._thread.start()
+
+    def join(self) -> None:
+        """Wait for the last call."""
+        self._thread.join()
+
+    def _run(self) -> None:
+        while not self._is_over.is_set():
+            self._use_connection(self._random.choice(self._deployment.vms))
+
+    def _use_connection(self, vm: Vm) -> None:
+        connection = http.client.HTTPConnection(
+            vm.ports['callers'],
+            timeout=_DEADLINE + 1,
+        )
+        try:
+            connection.connect()
+        except OSError:
+            # The node is away; nothing was sent.
+            time.sleep(_PAUSE)
+            return
+        for _ in range(_KEEPS):
+            if self._is_over.is_set() or not self._call(vm, connection):
+                break
+            time.sleep(_PAUSE)
+        connection.close()
+
+    def _call(self, vm: Vm, connection: http.client.HTTPConnection) -> bool:
+        """Make one call; return whether the connection stays open."""
+        is_pay = self._random.random() < 0.5
+        method = 'POST' if is_pay else 'GET'
+        service = 'pay' if is_pay else 'shop'
+        name = f'{self._prefix}n{len(self.seen)}'
+        work = self._random.choice([1, 20, 100])
+        headers = {
+            'Host': HOST,
+            REQUEST_ID: name,
+            DEADLINE: str(int(_DEADLINE * 1000)),
+        }
+        sent_at = time.time()
+        status, body, stays = 0, b'', False
+        try:
+            connection.request(
+                method, f'/{service}/x?work={work}', headers=headers
+            )
+            answer = connection.getresponse()
+            body = answer.read()
+            status = answer.status
+            stays = answer.getheader('connection') != 'close'
+        except _CLOSED:
+            stays = False
+        self.seen.append(
+            Seen(name, vm.name, method, status, body, sent_at, time.time()),
+        )
+        return stays
--- /dev/null
+++ b/tests/soak/network.py
@@ -0,0 +1,82 @@
+"""The paths between the processes of a soak, each through the proxy."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from tests.soak.proxy import Harm, Path, Proxy
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+# Added to the last number of a VM's loopback address.
+_PROXY_OFFSET = 120
+_HARMED = ('peers', 'store', 'target')
+
+
+class Network:
+    """Gives out addresses of the proxy and harms what goes through it."""
+
+    def __init__(self) -> None:
+        self._proxy = Proxy()
+        self._paths: dict[tuple[str, str], tuple[Path, str]] = {}
+
+    def reach(self, vm: str, listener: str, address: str) -> str:
+        """Return the address by which others reach a listener of a VM.
+
+        The store is reached by each VM over a path of its own.
+        """
+        key = (vm, listener)
+        if listener not in _HARMED:
+            return address
+        if key not in self._paths:
+            own = address if listener != 'store' else self._store(vm, address)
+            host, _, port = own.rpartition(':')
+            net, _, last = host.rpartition('.')
+            outside = f'{net}.{int(last) + _PROXY_OFFSET}:{port}'
+            is_udp = listener == 'peers'
+            path = self._proxy.open(outside, address, udp=is_udp)
+            self._paths[key] = (path, outside)
+        return self._paths[key][1]
+
+    def harm(self, vm: str, listeners: Iterable[str], harm: Harm) -> None:
+        """Harm the paths to some listeners of a VM."""
+        self._each(vm, listeners, lambda path: path.harm(harm))
+
+    def heal(self, vm: str, listeners: Iterable[str]) -> None:
+        """End the harm."""
+        self.harm(vm, listeners, Harm())
+
+    def reset(self, vm: str, listeners: Iterable[str]) -> None:
+        """Reset the open connections to some listeners of a VM."""
+        self._each(vm, listeners, lambda path: path.reset())
+
+    def silence(self, vm: str, listeners: Iterable[str]) -> None:
+        """Let the open connections to some listeners go silent for good."""
+        self._each(vm, listeners, lambda path: path.silence())
+
+    def close(self) -> None:
+        """Stop the proxy."""
+        self._proxy.close()
+
+    def _each(
+        self,
+        vm: str,
+        listeners: Iterable[str],
+        action: Callable[[Path], None],
+    ) -> None:
+        paths = [self._paths[vm, listener][0] for listener in listeners]
+
+        def act() -> None:
+            for path in paths:
+                action(path)
+
+        self._proxy.do(act)
+
+    def _store(self, vm: str, address: str) -> str:
+        """Return the store's port at the loopback address of a VM."""
+        peers = self._paths[vm, 'peers'][1]
+        host = peers.rpartition(':')[0]
+        net, _, last = host.rpartition('.')
+        port = address.rpartition(':')[2]
+        return f'{net}.{int(last) - _PROXY_OFFSET}:{port}'
--- /dev/null
+++ b/tests/soak/versions.py
@@ -0,0 +1,75 @@
+"""Watches which version of the routes each node has in force."""
+
+from __future__ import annotations
+
+import time
+from threading import Event, Lock, Thread
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from demo.mesh_harness import MeshDeployment
+
+_PERIOD = 0.05  # seconds between two looks
+_NOT_FOUND = 404
+
+
+class Versions:
+    """Declares versions, each with a route of its own."""
+
+    def __init__(self, deployment: MeshDeployment, is_over: Event) -> None:
+        self.newest = 0
+        self.faults: list[str] = []
+        self._deployment = deployment
+        self._is_over = is_over
+        self._lock = Lock()
+        self._thread = Thread(target=self._run)
+
+    def start(self) -> None:
+        """Begin to watch."""
+        self._thread.start()
+
+    def join(self) -> None:
+        """Wait for the last look."""
+        self._thread.join()
+
+    def declare(self) -> None:
+        """Declare the next version."""
+        rule = {
+            'timeout_ms': 1500,
+            'target_latency_ms': 500,
+            'priority': 1,
+            'max_attempts': 2,
+        }
+        kinds = {'shop': 'idempotent', 'pay': 'non_idempotent'}
+        routes = [
+            {
+                **rule,
+                'name': f'r-{service}',
+                'prefix': f'/{service}/',
+                'route_type': kind,
+                'service': service,
+            }
+            for service, kind in kinds.items()
+        ]
+        with self._lock:
+            newest = self.newest + 1
+            extra = {**routes[0], 'name': 'r-v', 'prefix': f'/v{newest}/'}
+            self._deployment.declare([*routes, extra])
+            self.newest = newest
+
+    def _run(self) -> None:
+        """Look whether a node that had a version in force goes back."""
+        known: dict[str, tuple[int, int]] = {}
+        while not self._is_over.is_set():
+            for vm in self._deployment.vms:
+                pid = vm.node.pid if vm.node else 0
+                version = self.newest
+                status = self._deployment.call(vm, f'/v{version}/x').status
+                life = (pid, version)
+                if version != self.newest or vm.node is None:
+                    continue
+                if status not in {0, _NOT_FOUND, 503} and vm.node.pid == pid:
+                    known[vm.name] = life
+                elif status == _NOT_FOUND and known.get(vm.name) == life:
+                    self.faults.append(f'{vm.name} went back from {version}')
+            time.sleep(_PERIOD)
