Compress the heads of messages between zones

A trial counted them: of 1.1 MB in 8 s, 27% were heads (some 275 bytes on the way to a target, 202 back), 8% bodies of calls that were refused.

Ruled out: bodies (random bytes, do not compress), gossip (the rest is calls), header tables of our own (zlib does it).

Change: a node that opens a link to another zone says in its Hello that what follows is compressed, heads only, one deflate stream for each direction with a window of 1 KB (249 bytes become 50 in 11 us). Frames are a module of their own.

--- a/bluebellsill/messages.py
+++ b/bluebellsill/messages.py
@@ -46,10 +46,17 @@
 
 
 class Hello(WireMessage, frozen=True, tag=1):
-    """The first message on a connection: who calls."""
+    """The first message on a connection: who calls.
+
+    Attributes:
+        member_id: The node that calls.
+        incarnation: Which life of it.
+        compresses: Whether all that follows, both ways, is compressed.
+    """
 
     member_id: str
     incarnation: int
+    compresses: bool = False
 
 
 class Heartbeat(WireMessage, frozen=True, tag=2):
--- a/bluebellsill/peer_stack.py
+++ b/bluebellsill/peer_stack.py
@@ -96,6 +96,9 @@
         self.gossip_task.on_revision = spread.on_heard
         self.server.on(RevisionRequest, spread.on_request)
 
-    def _hello(self) -> Hello:
+    def _hello(self, peer: str) -> Hello:
         own = self.members.own
-        return Hello(own.id, own.incarnation)
+        known = self.members.by_id.get(peer)
+        # Bytes cost something between zones only.
+        is_far = known is not None and known.zone != own.zone
+        return Hello(own.id, own.incarnation, is_far)
--- a/bluebellsill/peers.py
+++ b/bluebellsill/peers.py
@@ -4,33 +4,30 @@
 
 from dataclasses import dataclass
 from itertools import count
-from struct import Struct
 from typing import TYPE_CHECKING, Any
 
+from bluebellsill.frames import CompressedFrames, PlainFrames
 from bluebellsill.messages import (
     Heartbeat,
     HeartbeatReply,
     Hello,
     Message,
     MessageError,
-    decode,
-    encode,
 )
 from bluebellsill.streams import Address, Listener, Stream
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from bluebellsill.frames import Frames
     from bluebellsill.reactor import Reactor
 
 __all__ = ('LinkLost', 'PeerConnection', 'PeerLinks', 'PeerServer')
 
-MAX_FRAME = 16777216  # bytes
 CHECK_PERIOD = 0.1  # seconds
 _QUIET = 0.2  # seconds without a word until a heartbeat is sent
 _HEARTBEAT_WAIT = 0.5  # seconds until a silent connection is given up
 _IDLE_LIFETIME = 60  # seconds
-_LENGTH = Struct('>I')
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,11 +58,15 @@
         self._on_message = on_message
         self._on_end = on_end
         self._received = bytearray()
+        self._frames: Frames = PlainFrames()
 
     def send(self, message: Message) -> None:
         """Send one message."""
-        payload = encode(message)
-        self.stream.send(_LENGTH.pack(len(payload)) + payload)
+        self.stream.send(self._frames.encode(message))
+
+    def compress(self) -> None:
+        """Compress what follows, in both directions."""
+        self._frames = CompressedFrames()
 
     def on_connected(self) -> None:
         """Do nothing: what was queued is sent by the stream."""
@@ -74,8 +75,7 @@
         """Handle every whole message that has arrived."""
         self._received += chunk
         try:
-            for payload in self._take_frames():
-                self._on_message(self, decode(payload))
+            self._handle_received()
         except MessageError as error:
             self.stream.lose(str(error))
 
@@ -83,21 +83,13 @@
         """Report the end."""
         self._on_end(self, reason)
 
-    def _take_frames(self) -> list[bytes]:
-        frames: list[bytes] = []
-        start = 0
-        received = self._received
-        while len(received) - start >= _LENGTH.size:
-            length = int(_LENGTH.unpack_from(received, start)[0])
-            if length > MAX_FRAME:
-                raise MessageError(f'frame of {length} bytes is too long')
-            end = start + _LENGTH.size + length
-            if len(received) < end:
-                break
-            frames.append(bytes(received[start + _LENGTH.size : end]))
-            start = end
-        del received[:start]
-        return frames
+    def _handle_received(self) -> None:
+        # A message may change how the next one is laid out.
+        while not self.stream.is_closed:
+            message = self._frames.take(self._received)
+            if message is None:
+                return
+            self._on_message(self, message)
 
 
 class PeerServer:
@@ -143,6 +135,8 @@
             return
         if isinstance(message, Hello):
             connection.member_id = message.member_id
+            if message.compresses:
+                connection.compress()
             return
         handle = self._handlers_by_type.get(type(message))
         if handle is None:
@@ -211,14 +205,14 @@
     def __init__(
         self,
         reactor: Reactor,
-        hello: Callable[[], Hello],
+        hello: Callable[[str], Hello],
         on_silent: Callable[[str], None],
     ) -> None:
         """Create links that are opened when first used.
 
         Args:
             reactor: Waits for the sockets.
-            hello: Returns how this node introduces itself.
+            hello: Returns how this node introduces itself to a peer.
             on_silent: Told the id of a peer whose connection was lost.
         """
         self.reactor = reactor
@@ -286,7 +280,10 @@
         if link is None or link.connection.stream.is_closed:
             link = _Link(address, self, now)
             self._links_by_address[address] = link
-            link.connection.send(self._hello())
+            hello = self._hello(peer)
+            link.connection.send(hello)
+            if hello.compresses:
+                link.connection.compress()
         link.used_at = now
         return link
 
--- a/tests/node_session.py
+++ b/tests/node_session.py
@@ -92,7 +92,7 @@
         metrics = Metrics()
         self.links = PeerLinks(
             self.reactor,
-            lambda: Hello(OWN, 1),
+            lambda _: Hello(OWN, 1),
             lambda peer: self.write(f'node suspects {peer}'),
         )
         self.crashes = CrashSpread(self.members, self.links, quarantine)
--- a/tests/played.py
+++ b/tests/played.py
@@ -16,6 +16,7 @@
 )
 # Fields that few messages use; they are shown where they say something.
 _DEFAULTS_BY_FIELD: dict[str, Any] = {
+    'compresses': False,
     'failing': 0,
     'has_arrived': False,
     'is_inner': False,
