Let entry nodes find a slow target by the same routes at the others

One target of six ten times slower: p99 631 ms. The node beside it takes the slower level for the usual one, and the entry nodes' averages fade to 10 ms within two seconds, so that the slow target looked the quickest again and again.

Ruled out: a lower limit at the target's node (it cannot tell a slow host from heavier requests; that was the ramp before, and it held warm targets at one request).

Change: an entry node keeps for each target the pace of its answers in units of what the same routes take on an average; a target of three times the median pace gets a trial in 150 calls, and what nobody else takes.

--- a/bluebellsill/dispatch.py
+++ b/bluebellsill/dispatch.py
@@ -60,6 +60,7 @@
         *,
         deadline: float,
         is_idempotent: bool,
+        route: str = '',
         max_sends: int = _MAX_TRIES,
         asks_first: bool = False,
     ) -> None:
@@ -71,6 +72,7 @@
             clock: Tells the time.
             deadline: When nobody waits any more.
             is_idempotent: Whether running twice does no harm.
+            route: Names requests that take about as long.
             max_sends: How many targets may be handed the call.
             asks_first: Whether to look for a target that takes the call at
                 once, and to let it wait only where there is none.
@@ -80,6 +82,7 @@
         self._clock = clock
         self._deadline = deadline
         self._is_idempotent = is_idempotent
+        self._route = route
         self._max_sends = max_sends
         self._asks_first = asks_first
         self._may_wait = not asks_first
@@ -135,7 +138,9 @@
             view.on_report(load, limit, now)
             view.on_state(slowness, failing, now)
             if status < HTTPStatus.INTERNAL_SERVER_ERROR:
-                view.on_latency(now - self._sent_at, now)
+                seconds = now - self._sent_at
+                view.on_latency(seconds, now)
+                self._router.outliers.on_answer(view, self._route, seconds, now)
             elif not has_failed_below:
                 # A target that fails fast must not look like a fast one.
                 view.on_error_status(now)
--- a/bluebellsill/gateway.py
+++ b/bluebellsill/gateway.py
@@ -168,6 +168,7 @@
             self._clock,
             deadline=inbound.deadline,
             is_idempotent=inbound.is_idempotent,
+            route=inbound.route.name,
             max_sends=inbound.route.max_sends,
             asks_first=self._asks_first,
         )
--- a/bluebellsill/routing.py
+++ b/bluebellsill/routing.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from bluebellsill.outliers import Outliers
 from bluebellsill.rendezvous import rank
 from bluebellsill.target_view import TargetView
 
@@ -31,6 +32,7 @@
             choice: Chooses among the targets that may take a call.
         """
         self.views_by_id: dict[str, TargetView] = {}
+        self.outliers = Outliers()
         self._own_id = own_id
         self._own_zone = own_zone
         self._choice = choice
@@ -67,6 +69,7 @@
         ]
         good = [view for view in views if view.avoided_until <= now]
         candidates = good or views
+        candidates = self.outliers.without(candidates, now) or candidates
         if not candidates:
             return None
         return self._choice.pick(candidates, now)
--- a/bluebellsill/target_view.py
+++ b/bluebellsill/target_view.py
@@ -38,6 +38,10 @@
         slowness_at: When that was reported.
         usual_slowness: A moving average of it.
         failing: The share of its answers that failed of late.
+        pace: How long its answers took, in units of those of all targets.
+        paced_at: When that was last observed or put to trial.
+        answers: The answers that it is made of.
+        trial_call: The call of the service that was its last trial.
     """
 
     id: str
@@ -55,6 +59,10 @@
     slowness_at: float = 0
     usual_slowness: float = 1
     failing: float = 0
+    pace: float = 1
+    paced_at: float = 0
+    answers: int = 0
+    trial_call: int = 0
 
     def cost(self, now: float) -> float:
         """Return the expected time of one more call, in seconds."""
