Enforce what the document in force says callers may send and how long

The limits of heads, bodies, unfinished heads and idle connections were decoded and not used: 16 KiB and 4 MiB held, and idle connections stayed for good. They hold now from the version on that states them; a connection that rests keeps the limit of the moment at which it began to, as its caller may know no later one.

--- a/bluebellsill/errors.py
+++ b/bluebellsill/errors.py
@@ -25,6 +25,7 @@
     BAD_REQUEST = 'bad_request'
     BODY_TOO_LARGE = 'body_too_large'
     HEAD_TOO_LARGE = 'head_too_large'
+    HEAD_TIMEOUT = 'head_timeout'
     UNAUTHORIZED = 'unauthorized'
     FORBIDDEN_CALLER = 'forbidden_caller'
     UNKNOWN_SERVICE = 'unknown_service'
@@ -83,6 +84,7 @@
     ErrorKind.HEAD_TOO_LARGE: ErrorAnswer(
         HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
     ),
+    ErrorKind.HEAD_TIMEOUT: ErrorAnswer(HTTPStatus.REQUEST_TIMEOUT),
     ErrorKind.UNAUTHORIZED: ErrorAnswer(HTTPStatus.UNAUTHORIZED),
     ErrorKind.FORBIDDEN_CALLER: ErrorAnswer(HTTPStatus.FORBIDDEN),
     ErrorKind.UNKNOWN_SERVICE: ErrorAnswer(HTTPStatus.NOT_FOUND),
--- a/bluebellsill/http_server.py
+++ b/bluebellsill/http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from httptools import HttpParserError, HttpRequestParser
@@ -25,7 +26,31 @@
 
     from bluebellsill.reactor import Reactor
 
-__all__ = ('HttpServer', 'Reply')
+__all__ = ('HttpServer', 'Reply', 'RequestLimits')
+
+_SWEEP_PERIOD = 0.5  # seconds between looks for clients that take too long
+
+
+@dataclass(frozen=True, slots=True)
+class RequestLimits:
+    """What clients may send, and how long they may take.
+
+    Attributes:
+        max_head: Bytes of a request's head.
+        max_body: Bytes of a request's body.
+        head_timeout: Seconds in which a head that has begun must be whole,
+            None for any.
+        idle_timeout: Seconds that a connection may stay without a request,
+            None for any.
+    """
+
+    max_head: int = MAX_HEAD
+    max_body: int = MAX_BODY
+    head_timeout: float | None = None
+    idle_timeout: float | None = None
+
+
+_NO_LIMITS = RequestLimits()
 
 
 class Reply:
@@ -96,9 +121,12 @@
         """
         self.on_request = on_request
         self.is_closing = False
+        self.limits = _NO_LIMITS
+        self.clock = reactor.timers.clock
         self._connections: set[_ServerConnection] = set()
         self._listener = Listener(reactor, address, self._on_accepted)
         self.address = self._listener.address
+        reactor.timers.every(_SWEEP_PERIOD, self._sweep)
 
     def drain(self) -> None:
         """Answer what is in flight with ``connection: close``."""
@@ -124,6 +152,12 @@
         """Forget a connection that has ended."""
         self._connections.discard(connection)
 
+    def _sweep(self) -> None:
+        """End the connections of clients that take too long."""
+        now = self.clock.now()
+        for connection in tuple(self._connections):
+            connection.check(now)
+
     def _on_accepted(self, stream: Stream) -> None:
         connection = _ServerConnection(self, stream)
         self._connections.add(connection)
@@ -143,6 +177,9 @@
         self._problem: Problem | None = None
         self._head_size = 0
         self._in_head = True
+        self._head_since: float = 0
+        self._idle_until: float | None = None
+        self._rest()
         self._reset()
 
     def on_connected(self) -> None:
@@ -153,18 +190,36 @@
         if self._problem is not None:
             return
         if self._in_head:
+            if not self._head_size:
+                self._head_since = self._server.clock.now()
             self._head_size += len(chunk)
         try:
             self._parser.feed_data(chunk)
         except HttpParserError as error:
             self._fail(ErrorKind.BAD_REQUEST, f'malformed HTTP: {error}')
-        if self._in_head and self._head_size > MAX_HEAD:
+        max_head = self._server.limits.max_head
+        if self._in_head and self._head_size > max_head:
             self._fail(
                 ErrorKind.HEAD_TOO_LARGE,
-                f'request head is above {MAX_HEAD} bytes',
+                f'request head is above {max_head} bytes',
             )
         self._next()
 
+    def check(self, now: float) -> None:
+        """End a connection that is idle, or whose head is, for too long."""
+        if self._reply is not None or self._waiting:
+            return
+        timeout = self._server.limits.head_timeout
+        if not self._head_size:
+            if self._idle_until is not None and now > self._idle_until:
+                self._end()
+        elif timeout and self._in_head and now - self._head_since > timeout:
+            self._fail(
+                ErrorKind.HEAD_TIMEOUT,
+                f'request head is not whole after {timeout} s',
+            )
+            self._next()
+
     def on_lost(self, reason: str) -> None:
         """Tell the worker that nobody waits any more."""
         self._server.discard(self)
@@ -180,6 +235,7 @@
         """Send an answer and turn to the next request."""
         is_last = self._server.is_closing or not self._keep_alive
         self._reply = None
+        self._rest()
         self.stream.send(response.encode(is_last=is_last, to_head=to_head))
         if is_last:
             self._end()
@@ -228,10 +284,11 @@
     def on_body(self, chunk: bytes) -> None:
         """Collect a piece of the body."""
         self._body += chunk
-        if len(self._body) > MAX_BODY and self._problem is None:
-            self._problem = Problem(
+        max_body = self._server.limits.max_body
+        if len(self._body) > max_body:
+            self._fail(
                 ErrorKind.BODY_TOO_LARGE,
-                f'request body is above {MAX_BODY} bytes',
+                f'request body is above {max_body} bytes',
             )
 
     def on_message_complete(self) -> None:
@@ -249,6 +306,12 @@
         keep_alive = self._parser.should_keep_alive()
         self._waiting.append((request, keep_alive))
 
+    def _rest(self) -> None:
+        """Begin to wait for the next request."""
+        timeout = self._server.limits.idle_timeout
+        # The limit of that moment holds: callers may know no later one.
+        self._idle_until = timeout and self._server.clock.now() + timeout
+
     def _reset(self) -> None:
         self._url = b''
         self._headers: Headers = []
--- a/bluebellsill/mesh_node.py
+++ b/bluebellsill/mesh_node.py
@@ -375,6 +375,8 @@
             # Targets may have turned cold while they had nothing to do.
             self._runner.watch.doubt_temperature()
         self._was_zone_out = is_out
+        if self._state.plan is not None:
+            self._caller_server.limits = self._state.plan.limits
         if not self._settings.node.is_first_start:
             self._look_for_target()
 
--- a/bluebellsill/platform/routing_document.py
+++ b/bluebellsill/platform/routing_document.py
@@ -7,10 +7,11 @@
 from msgspec import DecodeError, Meta, Struct, json
 from result import Err, Ok, Result
 
+from bluebellsill.http_server import RequestLimits
 from bluebellsill.resources import Service
 from bluebellsill.route import Part, Route
 from bluebellsill.route_table import RouteTable
-from bluebellsill.routing_plan import CallerLimits, RoutingPlan
+from bluebellsill.routing_plan import RoutingPlan
 
 __all__ = ('HOSTS_FIELD', 'RULES_FIELD', 'decode_plan')
 
@@ -161,10 +162,10 @@
     )
 
 
-def _limits(limits: _Limits | None) -> CallerLimits | None:
+def _limits(limits: _Limits | None) -> RequestLimits:
     if limits is None:
-        return None
-    return CallerLimits(
+        return RequestLimits()
+    return RequestLimits(
         limits.max_header_bytes,
         limits.max_body_bytes,
         limits.header_timeout_ms / _SECOND,
