--- a/bluebellsill/calls.py
+++ b/bluebellsill/calls.py
@@ -214,10 +214,16 @@
 
     def _log_end(self, outcome: Response | Problem) -> None:
         inbound = self._inbound
-        seconds = self._links.now() - inbound.received_at
+        now = self._links.now()
+        seconds = now - inbound.received_at
+        wanted_at = inbound.first_at + inbound.route.target_latency
         fields = {
             'correlation': inbound.correlation,
             'service': inbound.service_name,
+            'route': inbound.route.name,
+            'is_inner': inbound.caller != OUTSIDE,
+            # Negative where the answer is in time.
+            'late_ms': int((now - wanted_at) * 1000),
             'tried': self.dispatch.tried,
             'after_ms': int(seconds * 1000),
             'repeats_ms': int((inbound.received_at - inbound.first_at) * 1000),
--- a/bluebellsill/mesh_node.py
+++ b/bluebellsill/mesh_node.py
@@ -65,6 +65,7 @@
 __all__ = ('MeshNode',)
 
 _LOG_PERIOD = 0.1  # seconds until lines that a slow reader left are tried
+_STATE_PERIOD = 5.0  # seconds between lines that show the gauges
 _SEED_BYTES = 8  # bytes from the system for the random source
 _REPORT_LIVES = 6  # report periods until a silent target is lost
 _CONFIRM_SHARE = 0.9  # of a report period; the second report confirms
@@ -318,11 +319,17 @@
             is_first_start=self._settings.node.is_first_start,
         )
         self._timers.every(_LOG_PERIOD, _flush)
+        self._timers.every(_STATE_PERIOD, self._log_state)
         is_first = self._settings.node.is_first_start
         self._discovery.start(hurries=not is_first)
         self._feed_reader.start(hurries=not is_first)
         self._peers.gossip_task.tick()
 
+    def _log_state(self) -> None:
+        """Leave what the metrics show in the log, for later readers."""
+        gauges = self._metrics.gauges
+        self._log.info('state', **{name: gauges[name]() for name in gauges})
+
     def _on_reload(self) -> None:
         settings = self._reload()
         if settings is None:
