--- /dev/null
+++ b/bluebellsill/caller_side.py
@@ -0,0 +1,112 @@
+"""The side of a node on the platform that faces its callers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from bluebellsill.choice import NearestFree
+from bluebellsill.errors import ErrorKind
+from bluebellsill.gateway import Gateway
+from bluebellsill.http_server import HttpServer
+from bluebellsill.placement import Placement
+from bluebellsill.platform.headers import CALLER_HEADERS
+from bluebellsill.resources import OUTSIDE
+from bluebellsill.retries import RetryBudget
+from bluebellsill.route_interface import RouteInterface
+from bluebellsill.shared_budget import shared_budget
+from bluebellsill.streams import Address
+from bluebellsill.weights import WeightedTurns
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from bluebellsill.http import Request
+    from bluebellsill.http_server import Reply
+    from bluebellsill.mesh_settings import BoundSettings, MeshSettings
+    from bluebellsill.metrics import Metrics
+    from bluebellsill.operator_state import OperatorState
+    from bluebellsill.peer_stack import PeerStack
+    from bluebellsill.quarantine import Quarantine
+    from bluebellsill.reactor import Reactor
+    from bluebellsill.target_runner import TargetRunner
+
+__all__ = ('CallerSide',)
+
+
+class CallerSide:
+    """Takes requests of callers on the VM, and of the target's own.
+
+    Attributes:
+        gateway: Serves them.
+        server: Listens for them.
+        bounds: The platform's bounds that decisions keep.
+        is_draining: Whether every new request is refused.
+    """
+
+    def __init__(
+        self,
+        reactor: Reactor,
+        settings: MeshSettings,
+        peers: PeerStack,
+        state: OperatorState,
+        quarantine: Quarantine,
+        metrics: Metrics,
+        runner: TargetRunner,
+        random: Random,
+    ) -> None:
+        """Bind the listener for callers.
+
+        Raises:
+            OSError: The address cannot be bound.
+        """
+        members = peers.members
+        self.bounds: BoundSettings = settings.known_bounds()
+        self.is_draining = False
+        self._members = members
+        self._runner = runner
+        self._service = settings.target.service
+        self._clock = reactor.timers.clock
+        self._interface = RouteInterface(
+            CALLER_HEADERS,
+            self._service,
+            state,
+            WeightedTurns(random),
+            quarantine,
+            self._clock,
+            random,
+        )
+        placement = Placement(
+            members,
+            state,
+            lambda: NearestFree(random, members.own.zone),
+            self._retry_budget,
+        )
+        self.gateway = Gateway(
+            members.own.id,
+            self._interface,
+            placement,
+            peers.links,
+            runner,
+            metrics,
+            asks_first=True,
+        )
+        self.server = HttpServer(
+            reactor,
+            Address.parse(settings.listen.callers),
+            self._on_request,
+        )
+
+    def _on_request(self, request: Request, reply: Reply) -> None:
+        if self.is_draining:
+            # Callers use open connections until the process is gone.
+            self.gateway.refuse(request, reply, ErrorKind.LEAVING)
+            return
+        # Callers and the target use one address; only the target makes
+        # calls for a request that it works on.
+        is_target = self._runner.is_running(self._interface.parent(request))
+        caller = self._service if is_target else OUTSIDE
+        self.gateway.handle(request, reply, caller)
+
+    def _retry_budget(self) -> RetryBudget:
+        rules = shared_budget(self.bounds, len(self._members.live()))
+        return RetryBudget(rules, self._clock.now())
--- a/bluebellsill/graceful_stop.py
+++ b/bluebellsill/graceful_stop.py
@@ -31,7 +31,6 @@
 
     Attributes:
         has_begun: Whether the node was asked to stop.
-        is_draining: Whether new requests are to be refused.
     """
 
     def __init__(
@@ -52,7 +51,6 @@
             on_stopped: Called once at the end.
         """
         self.has_begun = False
-        self.is_draining = False
         self._timers = timers
         self._in_flight = in_flight
         self._on_draining = on_draining
@@ -70,7 +68,6 @@
         self._timers.after(min(_CALLERS_LEAVE, grace / 2), self._drain)
 
     def _drain(self) -> None:
-        self.is_draining = True
         self._on_draining()
         self._timers.every(_PERIOD, self._check)
 
--- a/bluebellsill/mesh_node.py
+++ b/bluebellsill/mesh_node.py
@@ -10,14 +10,12 @@
 
 from bluebellsill._signals import take_signals
 from bluebellsill.acceptance import Acceptance
-from bluebellsill.announcement import Announcement
-from bluebellsill.choice import NearestFree
+from bluebellsill.caller_side import CallerSide
 from bluebellsill.clock import SystemClock
 from bluebellsill.crash_spread import CrashSpread
 from bluebellsill.discovery import Discovery
 from bluebellsill.errors import ErrorKind
 from bluebellsill.feed_reader import FeedReader
-from bluebellsill.gateway import Gateway
 from bluebellsill.graceful_stop import GracefulStop
 from bluebellsill.http_server import HttpServer
 from bluebellsill.logs import bind_logs, flush_logs, get_logger
@@ -25,51 +23,33 @@
 from bluebellsill.messages import CrashReport
 from bluebellsill.metrics import Metrics
 from bluebellsill.operator_state import OperatorState
-from bluebellsill.peer_calls import PeerCalls
 from bluebellsill.peer_stack import PeerStack
-from bluebellsill.placement import Placement
 from bluebellsill.platform.endpoints import (
     MetricsApi,
     ReadyApi,
-    TargetReportApi,
 )
-from bluebellsill.platform.headers import CALLER_HEADERS
 from bluebellsill.platform.kv_store import KvStore
 from bluebellsill.platform.node_keys import LEASE_SECONDS, NodeKeys
 from bluebellsill.platform.operator_keys import OperatorKeys
 from bluebellsill.platform.routing_document import decode_plan
-from bluebellsill.platform.targets import PlatformDialect
 from bluebellsill.quarantine import Quarantine
 from bluebellsill.reactor import Reactor
 from bluebellsill.readiness import Readiness
-from bluebellsill.resources import OUTSIDE, Service
-from bluebellsill.retries import RetryBudget
-from bluebellsill.route_interface import RouteInterface
-from bluebellsill.shared_budget import shared_budget
-from bluebellsill.slot_gate import SlotGate
-from bluebellsill.start_pace import ColdRules
+from bluebellsill.resources import Service
 from bluebellsill.streams import Address
-from bluebellsill.target_lives import Departure, TargetLives, TargetReport
-from bluebellsill.target_runner import TargetRunner
+from bluebellsill.target_side import TargetSide
 from bluebellsill.timers import TimerService
-from bluebellsill.watch_rules import WatchRules
-from bluebellsill.weights import WeightedTurns
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from bluebellsill.http import Request
-    from bluebellsill.http_server import Reply
-    from bluebellsill.mesh_settings import BoundSettings, MeshSettings
+    from bluebellsill.mesh_settings import MeshSettings
 
 __all__ = ('MeshNode',)
 
 _LOG_PERIOD = 0.1  # seconds until lines that a slow reader left are tried
 _STATE_PERIOD = 5.0  # seconds between lines that show the gauges
 _SEED_BYTES = 8  # bytes from the system for the random source
-_REPORT_LIVES = 6  # report periods until a silent target is lost
-_CONFIRM_SHARE = 0.9  # of a report period; the second report confirms
-_PROBE_PERIOD = 0.5  # seconds; how long a target may be cold unnoticed
 
 
 class MeshNode(BaseComponent):
@@ -95,7 +75,6 @@
         super().__init__()
         self._settings = settings
         self._reload = reload
-        self._bounds = settings.known_bounds()
         self._log = get_logger('node')
         self._clock = SystemClock()
         self._timers = TimerService(self._clock)
@@ -103,16 +82,14 @@
         self._random = Random(urandom(_SEED_BYTES))
         self._metrics = Metrics()
         self._quarantine = Quarantine()
-        self._was_zone_out = False
         self._build_peers()
-        self._build_target()
-        self._build_callers()
+        self._build_interfaces()
         self._build_gauges()
         self._stop = GracefulStop(
             self._timers,
-            lambda: self._runner.in_flight + self._gateway.in_flight,
+            self._in_flight,
             self._on_draining,
-            self._caller_server.stop_accepting,
+            self._caller_side.server.stop_accepting,
             self._on_stopped,
         )
 
@@ -212,67 +189,26 @@
         )
         self._peers.server.on(CrashReport, self._crashes.on_report)
 
-    def _build_target(self) -> None:
-        target = self._settings.target
-        period = target.report_period_ms / 1000
-        is_first = self._settings.node.is_first_start
-        self._runner = TargetRunner(
+    def _build_interfaces(self) -> None:
+        settings = self._settings
+        self._target_side = TargetSide(
             self._reactor,
+            settings,
             self,
             self._quarantine,
             self._metrics,
-            SlotGate(_cold_rules(self._bounds)),
-            PlatformDialect(),
-            WatchRules(
-                announcement_lifetime=_REPORT_LIVES * period,
-                probe_period=_PROBE_PERIOD,
-                probes_busy=True,
-                confirm_after=None if is_first else _CONFIRM_SHARE * period,
-            ),
         )
-        PeerCalls(self._runner).serve(self._peers.server)
-        self._lives = TargetLives()
-        self._report_server = HttpServer(
+        self._runner = self._target_side.runner
+        self._target_side.serve(self._peers.server)
+        self._caller_side = CallerSide(
             self._reactor,
-            Address.parse(self._settings.listen.reports),
-            TargetReportApi(
-                target.service,
-                target.address,
-                self._on_report,
-                self._on_departure,
-            ).handle,
-        )
-
-    def _build_callers(self) -> None:
-        settings = self._settings
-        members = self._peers.members
-        self._interface = RouteInterface(
-            CALLER_HEADERS,
-            settings.target.service,
+            settings,
+            self._peers,
             self._state,
-            WeightedTurns(self._random),
             self._quarantine,
-            self._clock,
-            self._random,
-        )
-        self._gateway = Gateway(
-            members.own.id,
-            self._interface,
-            Placement(
-                members,
-                self._state,
-                lambda: NearestFree(self._random, members.own.zone),
-                self._retry_budget,
-            ),
-            self._peers.links,
-            self._runner,
             self._metrics,
-            asks_first=True,
-        )
-        self._caller_server = HttpServer(
-            self._reactor,
-            Address.parse(settings.listen.callers),
-            self._on_caller,
+            self._runner,
+            self._random,
         )
         self._ready_server = HttpServer(
             self._reactor,
@@ -291,18 +227,13 @@
             members=lambda: len(self._peers.members.live()),
             links=lambda: len(self._peers.links),
             gossip_bytes_sent=lambda: self._peers.gossip.bytes_sent,
-            in_flight=lambda: self._gateway.in_flight,
+            in_flight=lambda: self._caller_side.gateway.in_flight,
             at_target=lambda: self._runner.in_flight,
             target_connections=lambda: self._runner.watch.opened_connections,
             revision=lambda: self._state.revision,
             log_lines_dropped=flush_logs,
         )
 
-    def _retry_budget(self) -> RetryBudget:
-        nodes = len(self._peers.members.live())
-        rules = shared_budget(self._bounds, nodes)
-        return RetryBudget(rules, self._clock.now())
-
     # Lifecycle.
 
     @handler('started', channel='*')
@@ -334,19 +265,20 @@
         settings = self._reload()
         if settings is None:
             return
-        self._bounds = settings.known_bounds()
+        self._caller_side.bounds = settings.known_bounds()
         self._log.info('reloaded', bounds=settings.bounds)
 
     def _leave(self) -> None:
         """Begin the graceful shutdown."""
         self._feed_reader.stop()
         self._discovery.is_stopped = True
-        self._caller_server.is_closing = True
+        self._caller_side.server.is_closing = True
         self._peers.gossip_task.push()
-        self._stop.begin(self._bounds.grace_s)
+        self._stop.begin(self._caller_side.bounds.grace_s)
 
     def _on_draining(self) -> None:
         """Take no new work."""
+        self._caller_side.is_draining = True
         self._acceptance.is_leaving = True
         self._runner.refuse_queue(ErrorKind.LEAVING)
         self._peers.members.restate(state=MemberState.LEAVING)
@@ -358,57 +290,19 @@
         flush_logs()
         self.stop()
 
+    def _in_flight(self) -> int:
+        return self._runner.in_flight + self._caller_side.gateway.in_flight
+
     def _is_ready(self) -> bool:
         return not self._stop.has_begun and self._readiness.is_ready()
 
-    # The target and the operators.
-
-    def _on_report(self, report: TargetReport) -> None:
-        announcement = self._lives.take(report)
-        if announcement is not None:
-            self._runner.announce(announcement)
-
-    def _on_departure(self, departure: Departure) -> None:
-        announcement = self._lives.leave(departure)
-        self._log.info('target departs', name=departure.name)
-        if announcement is not None:
-            self._runner.announce(announcement)
-
     def _on_operators(self) -> None:
         is_out = self._state.is_zone_out(self._peers.members.own.zone)
-        if is_out and not self._was_zone_out:
-            self._runner.refuse_queue(ErrorKind.ZONE_OUT)
-        elif self._was_zone_out and not is_out:
-            # Targets may have turned cold while they had nothing to do.
-            self._runner.watch.doubt_temperature()
-        self._was_zone_out = is_out
+        self._target_side.on_zone(is_out=is_out)
         if self._state.plan is not None:
-            self._caller_server.limits = self._state.plan.limits
+            self._caller_side.server.limits = self._state.plan.limits
         if not self._settings.node.is_first_start:
-            self._look_for_target()
-
-    def _look_for_target(self) -> None:
-        """Ask for a target whose next report is still to come."""
-        target = self._settings.target
-        self._runner.watch.look_for(
-            Announcement(target.service, target.address, ''),
-        )
-
-    def _on_caller(self, request: Request, reply: Reply) -> None:
-        if self._stop.is_draining:
-            # Callers use open connections until the process is gone.
-            self._gateway.refuse(request, reply, ErrorKind.LEAVING)
-            return
-        # Callers and the target use one address; only the target makes
-        # calls for a request that it works on.
-        is_target = self._runner.is_running(self._interface.parent(request))
-        caller = self._settings.target.service if is_target else OUTSIDE
-        self._gateway.handle(request, reply, caller)
-
-
-def _cold_rules(bounds: BoundSettings) -> ColdRules:
-    # One below the bound: a probe may be taken for a request.
-    return ColdRules(bounds.cold_excess, max(0, bounds.cold_slack - 1))
+            self._target_side.look_for_target()
 
 
 def _flush() -> None:
--- a/demo/day_log.py
+++ b/demo/day_log.py
@@ -60,7 +60,7 @@
         self.outcomes[line['route']][second][outcome] += 1
 
 
-def read(paths: Iterable[Path]) -> Iterator[dict[str, Any]]:
+def read_lines(paths: Iterable[Path]) -> Iterator[dict[str, Any]]:
     """Yield the log lines of files in the order of their times."""
     texts = [
         text[text.find('{"') :]
--- a/demo/day_plot.py
+++ b/demo/day_plot.py
@@ -18,7 +18,7 @@
 
 from matplotlib import pyplot as plt  # noqa: E402
 
-from demo.day_log import Day, read  # noqa: E402
+from demo.day_log import Day, read_lines  # noqa: E402
 
 if TYPE_CHECKING:
     from matplotlib.axes import Axes
@@ -41,7 +41,7 @@
         sys.stderr.write(f'{__doc__}\n')
         return 2
     day = Day()
-    for line in read(Path(name) for name in arguments[1:]):
+    for line in read_lines(Path(name) for name in arguments[1:]):
         day.take(line)
     by_load = sorted(
         day.outcomes,
--- a/tests/test_day_log.py
+++ b/tests/test_day_log.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 from typing import Any
 
-from demo.day_log import Day, read
+from demo.day_log import Day, read_lines
 
 
 def _line(second: int, event: str, **fields: Any) -> str:
@@ -24,7 +24,7 @@
     path = tmp_path / 'log'
     path.write_text('\n'.join(lines), encoding='utf-8')
     day = Day()
-    for line in read([path]):
+    for line in read_lines([path]):
         day.take(line)
     return day
 
