--- a/bluebellsill/operators.py
+++ b/bluebellsill/operators.py
@@ -11,7 +11,8 @@
 from result import Err, Result
 from xxhash import xxh3_128_digest
 
-from bluebellsill.configuration import Change, Configuration, Draft
+from bluebellsill.change_records import Change, Draft
+from bluebellsill.configuration import Configuration
 from bluebellsill.errors import ErrorKind, Problem
 from bluebellsill.http import (
     Request,
--- a/bluebellsill/reader.py
+++ b/bluebellsill/reader.py
@@ -7,7 +7,7 @@
 from msgspec import DecodeError, ValidationError, json
 from result import Err, Result
 
-from bluebellsill.configuration import ConfigurationError, Head
+from bluebellsill.change_records import ConfigurationError, Head
 from bluebellsill.logs import get_logger
 from bluebellsill.rollout import readers_of
 from bluebellsill.writer import HEAD_KEY, ConfigurationWriter
--- a/bluebellsill/watches.py
+++ b/bluebellsill/watches.py
@@ -8,7 +8,8 @@
 from bluebellsill.http import problem_response
 
 if TYPE_CHECKING:
-    from bluebellsill.configuration import Change, Configuration
+    from bluebellsill.change_records import Change
+    from bluebellsill.configuration import Configuration
     from bluebellsill.http_server import Reply
     from bluebellsill.resources import Kind
 
--- a/bluebellsill/writer.py
+++ b/bluebellsill/writer.py
@@ -7,14 +7,14 @@
 from msgspec import json
 from result import Err, Ok, Result
 
-from bluebellsill.configuration import (
+from bluebellsill.change_records import (
     Change,
-    Configuration,
     ConfigurationError,
     Draft,
     Head,
     decode_snapshot,
 )
+from bluebellsill.configuration import Configuration
 from bluebellsill.errors import ErrorKind, Problem
 
 if TYPE_CHECKING:
--- a/demo/capacity.py
+++ b/demo/capacity.py
@@ -19,12 +19,8 @@
 import msgspec
 
 from bluebellsill import node as _node  # noqa: F401 (all that a node imports)
-from bluebellsill.configuration import (
-    Configuration,
-    Snapshot,
-    Stored,
-    decode_snapshot,
-)
+from bluebellsill.change_records import Snapshot, Stored, decode_snapshot
+from bluebellsill.configuration import Configuration
 from bluebellsill.gossip_messages import Member, Sync
 from bluebellsill.membership import Members, MemberState
 from bluebellsill.messages import encode
--- a/tests/node_session.py
+++ b/tests/node_session.py
@@ -17,9 +17,10 @@
 from bluebellsill.acceptance import Acceptance
 from bluebellsill.announcement import Announcement
 from bluebellsill.caller_interface import OwnInterface
+from bluebellsill.change_records import Change
 from bluebellsill.choice import TwoChoices
 from bluebellsill.clock import ManualClock
-from bluebellsill.configuration import Change, Configuration
+from bluebellsill.configuration import Configuration
 from bluebellsill.crash_spread import CrashSpread
 from bluebellsill.errors import ErrorKind
 from bluebellsill.gateway import Gateway
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -7,15 +7,15 @@
 from hypothesis import strategies as st
 from result import Err, Ok
 
-from bluebellsill.configuration import (
+from bluebellsill.change_records import (
     Change,
-    Configuration,
     ConfigurationError,
     Draft,
     Head,
     Snapshot,
     Stored,
 )
+from bluebellsill.configuration import Configuration
 from bluebellsill.errors import ErrorKind
 from bluebellsill.resources import Kind
 
--- a/tests/test_writer.py
+++ b/tests/test_writer.py
@@ -6,14 +6,9 @@
 from hypothesis import strategies as st
 from result import Ok, Result
 
+from bluebellsill.change_records import MAX_HEAD_CHANGES, Change, Draft, Head
 from bluebellsill.clock import ManualClock
-from bluebellsill.configuration import (
-    MAX_HEAD_CHANGES,
-    Change,
-    Configuration,
-    Draft,
-    Head,
-)
+from bluebellsill.configuration import Configuration
 from bluebellsill.errors import ErrorKind, Problem
 from bluebellsill.resources import Kind
 from bluebellsill.timers import TimerService
