Do not risk rests that a server was seen to forget

Cause: the grown deployments' servers forget resting connections (idle_race); what is sent next is reset, and a request that is not idempotent ends with 502, though it has not run. Each server cost one such request for each connection that had rested.

Change: a connection that is lost at its first use after a rest, without a byte of an answer, shakes the trust in rests of that server for 10 s; those longer than half of that one are not used meanwhile.

Test: test_idle_trust (new).

--- a/bluebellsill/http_client.py
+++ b/bluebellsill/http_client.py
@@ -10,6 +10,7 @@
 from result import Err, Ok, Result
 
 from bluebellsill.http import MAX_BODY, Headers, Request, Response
+from bluebellsill.idle_trust import IdleTrust
 from bluebellsill.streams import Address, Stream
 
 if TYPE_CHECKING:
@@ -111,6 +112,7 @@
         self.rules = rules
         self.opened = 0
         self.reactor = reactor
+        self.trust = IdleTrust()
         self._idle: list[_ClientConnection] = []
         self._open: set[_ClientConnection] = set()
 
@@ -175,10 +177,14 @@
 
     def _take_idle(self) -> _ClientConnection | None:
         now = self.reactor.timers.clock.now()
+        longest = self.trust.longest_rest(now)
         while self._idle:
             # The most recently used is the least likely to have gone silent.
             connection = self._idle.pop()
-            if now - connection.idle_since <= connection.idle_lifetime:
+            rest = now - connection.idle_since
+            is_trusted = longest is None or rest <= longest
+            if is_trusted and rest <= connection.idle_lifetime:
+                connection.rest = rest
                 return connection
             connection.stream.close()
             self._open.discard(connection)
@@ -200,6 +206,9 @@
 
     def __init__(self, pool: HttpPool) -> None:
         self.idle_since: float = 0
+        # Seconds without use before the exchange in flight, None for the
+        # first one; bytes of an answer show that the rest was no harm.
+        self.rest: float | None = None
         self.idle_lifetime: float = _IDLE_LIFETIME
         self._is_tainted = False
         self._pool = pool
@@ -222,6 +231,7 @@
 
     def on_bytes(self, chunk: bytes) -> None:
         """Parse a piece of the answer."""
+        self.rest = None
         try:
             self._parser.feed_data(chunk)
         except HttpParserError as error:
@@ -231,6 +241,9 @@
         """End the exchange in flight, which fails unless its answer is whole."""
         self.forget()
         exchange = self._exchange
+        if exchange is not None and self.rest is not None:
+            now = self._pool.reactor.timers.clock.now()
+            self._pool.trust.on_lost(self.rest, now)
         if self._ends_with_connection and self.stream.is_ended:
             response = self._response()
             if exchange is not None and self._is_for(exchange, response):
