Let saved retries fade instead of bounding them below one

A node's part of the common extra is 0.65 retries there, and that was also the most that it could save.

Ruled out: the status (504 is tried again), the number of targets (two allowed).

Change: what a node saves fades over the platform's window instead, so that all nodes together spend at most half of the allowed share of the requests of about that time, and their parts of the extra.

--- a/bluebellsill/retries.py
+++ b/bluebellsill/retries.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from math import exp
 
 __all__ = ('OWN_BUDGET', 'BudgetRules', 'RetryBudget')
 
@@ -17,6 +18,7 @@
         cap: Retries that a budget holds at most.
         per_second: Retries earned by time.
         refused_cost: Of a retry after a refusal that no target has seen.
+        lifetime: Seconds over which what was saved fades, None for never.
     """
 
     deposit: float = 0.2
@@ -24,6 +26,7 @@
     cap: float = 50.0
     per_second: float = 0
     refused_cost: float = 0.25
+    lifetime: float | None = None
 
 
 OWN_BUDGET = BudgetRules()
@@ -44,9 +47,16 @@
         self._earn(self.rules.deposit)
 
     def on_time(self, now: float) -> None:
-        """Earn what the time since the last call of this is worth."""
-        self._earn(self.rules.per_second * max(0, now - self._at))
+        """Take in the time: some is earned by it, some of the saved fades."""
+        seconds = max(0, now - self._at)
         self._at = now
+        lifetime = self.rules.lifetime
+        if lifetime is not None:
+            kept = exp(-seconds / lifetime)
+            self._saved *= kept
+            # What is earned meanwhile fades too.
+            seconds = lifetime * (1 - kept)
+        self._earn(self.rules.per_second * seconds)
 
     def take(self, *, was_dispatched: bool) -> bool:
         """Return whether a retry is allowed, and pay for it.
