Fail a request when its response never ends

Cause: the client bounds a body at 4 MiB but nothing else. A target that sends a head, chunk extensions, trailers, interim responses or other requests' responses without end filled the node's memory until the request timed out: on a link of 100 Mbit/s that is more than the 200 MB of a small VM within a long time-out.

Change: bytes that add nothing to a body are limited to 64 KiB in a row, and all bytes of one request to twice the largest response. The connection is closed and the request fails at once, while there is time for another attempt. Bytes on an idle connection close it.

Measured: tests/test_response_limit.py plays ten kinds against the client on loopback. The first case failed before the change by running into its time-out of 20 s; with it, all pass, and a late response before a body of 4 MiB still arrives whole.

--- a/bluebellsill/http_client.py
+++ b/bluebellsill/http_client.py
@@ -11,6 +11,7 @@
 
 from bluebellsill.http import MAX_BODY, Headers, Request, Response
 from bluebellsill.idle_limit import IdleLimit
+from bluebellsill.response_limit import ResponseLimit
 from bluebellsill.streams import Address, Stream
 
 if TYPE_CHECKING:
@@ -245,10 +246,22 @@
     def on_bytes(self, chunk: bytes) -> None:
         """Parse a part of the response."""
         self.idle_seconds = None
+        exchange = self._exchange
+        if exchange is None:
+            self.stream.lose('bytes without a request in flight')
+            return
+        self._has_body_part = False
         try:
             self._parser.feed_data(chunk)
         except HttpParserError as error:
             self.stream.lose(f'malformed response: {error}')
+            return
+        if self._exchange is not exchange:
+            # The response is complete; the next request has a new limit.
+            return
+        excess = self._limit.excess(len(chunk), has_body=self._has_body_part)
+        if excess:
+            self.stream.lose(f'response without end: {excess}')
 
     def on_lost(self, reason: str) -> None:
         """Finish the exchange in flight with a failure.
@@ -299,6 +312,7 @@
 
     def on_body(self, chunk: bytes) -> None:
         """Store a part of the body."""
+        self._has_body_part = True
         self._body += chunk
         if len(self._body) > MAX_BODY:
             self._schedule_failure(f'response body exceeds {MAX_BODY} bytes')
@@ -359,6 +373,8 @@
         # A new parser for each request, so that no state of an earlier response
         # is carried over.
         self._parser = HttpResponseParser(self)
+        self._limit = ResponseLimit()
+        self._has_body_part = False
         self._clear()
 
     def _clear(self) -> None:
