Send each membership update fewer times, and mostly within the zone

Cause: each member sent each changed record three times log2 of the number of members, to members of any zone. A fleet that starts changes every record about twice, so its bytes grew with the square of its size and its logarithm.

Change: a record is sent eight times, after which one member in 3,000 has not got it and the regular syncs bring it (Demers et al., 1987). Three quarters of the pushes stay in the zone; probes and syncs reach all zones as before.

The test fails on the code before (38,732 bytes a member, bound 36,000).

--- a/bluebellsill/dissemination.py
+++ b/bluebellsill/dissemination.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from heapq import nsmallest
-from math import ceil, log2
 from typing import TYPE_CHECKING
 
 from bluebellsill.membership import MemberState
@@ -15,8 +14,11 @@
 __all__ = ('MAX_UPDATES', 'Dissemination')
 
 MAX_UPDATES = 12  # records in one datagram
-# A record is sent this many times log2 of the number of members, as in SWIM.
-_RETRANSMIT_FACTOR = 3
+# Times that each member sends a record. If all that have received it send it to
+# this many random members, a share of about exp(-8), 1 in 3,000, never gets it so
+# (Demers et al., "Epidemic algorithms for replicated database maintenance",
+# 1987), whatever their number; the regular syncs bring it to those.
+_RETRANSMISSIONS = 8
 
 
 class Dissemination:
@@ -46,7 +48,6 @@
             receiver: The id of the member to send to. If it is suspected or
                 gone, its own record is included.
         """
-        limit = _RETRANSMIT_FACTOR * ceil(log2(len(self._members.by_id) + 1))
         least_sent = nsmallest(
             MAX_UPDATES,
             self._sent_by_id.items(),
@@ -59,7 +60,7 @@
             updates.append(member)
         for member_id, sent in least_sent:
             record = self._members.by_id.get(member_id)
-            if record is None or sent + 1 >= limit:
+            if record is None or sent + 1 >= _RETRANSMISSIONS:
                 del self._sent_by_id[member_id]
             else:
                 self._sent_by_id[member_id] = sent + 1
--- a/bluebellsill/swim.py
+++ b/bluebellsill/swim.py
@@ -25,6 +25,7 @@
 )
 from bluebellsill.membership import Members, MemberState
 from bluebellsill.messages import Message
+from bluebellsill.peer_sampling import PeerSampler
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -99,8 +100,7 @@
         self._suspected_at_by_id: dict[str, float] = {}
         self._dissemination = Dissemination(members)
         self._probe_order: list[str] = []
-        self._live_peers: list[str] = []
-        self._live_peers_are_current = False
+        self._peers = PeerSampler(members, random)
         self._disseminates = True
         self._needs_sync = False
         self._periods = 0
@@ -155,7 +155,9 @@
 
     def push(self) -> list[Datagram]:
         """Send pending updates to a few random members immediately."""
-        return [self._ping(one) for one in self._sample(_PUSH_FANOUT)]
+        return [
+            self._ping(one) for one in self._peers.sample_near(_PUSH_FANOUT)
+        ]
 
     def handle(self, message: Message, now: float) -> list[Datagram]:
         """Handle a datagram.
@@ -204,7 +206,7 @@
     def _push_backlog(self) -> list[Datagram]:
         """Send extra pings while many updates are pending."""
         extra = min(self._dissemination.backlog, _MAX_EXTRA_PINGS)
-        return [self._ping(one) for one in self._sample(extra)]
+        return [self._ping(one) for one in self._peers.sample_near(extra)]
 
     def _on_ping(self, ping: Ping, now: float) -> list[Datagram]:
         was_alone = len(self.members.by_id) == 1
@@ -249,7 +251,6 @@
             self.members.merge(record, now)
 
     def _on_change(self, known: Member | None, record: Member) -> None:
-        self._live_peers_are_current = False
         if self._disseminates or record.id == self.members.own.id:
             self._dissemination.add(record.id)
         if record.state == MemberState.SUSPECT:
@@ -272,17 +273,6 @@
             gone = replace(record, state=int(MemberState.GONE))
             self.members.merge(gone, now)
 
-    def _sample(self, count: int, exclude: str = '') -> list[str]:
-        """Return the ids of up to ``count`` random live members."""
-        if not self._live_peers_are_current:
-            own_id = self.members.own.id
-            live = self.members.live()
-            self._live_peers = [one.id for one in live if one.id != own_id]
-            self._live_peers_are_current = True
-        wanted = min(count + 1, len(self._live_peers))
-        drawn = self._random.sample(self._live_peers, wanted)
-        return [one for one in drawn if one != exclude][:count]
-
     def _next_to_probe(self) -> Member | None:
         """Return the next member in a random order that covers them all."""
         while self._probe_order:
@@ -315,13 +305,13 @@
 
     def _request_pings(self, member: Member, sequence: int) -> list[Datagram]:
         request = PingRequest(sequence, member.id, self.members.own)
-        relays = self._sample(_INDIRECT_PROBES, exclude=member.id)
+        relays = self._peers.sample(_INDIRECT_PROBES, exclude=member.id)
         return [Datagram(relay, request) for relay in relays]
 
     def _start_sync(self) -> list[Datagram]:
         own_id = self.members.own.id
         other_seeds = [seed for seed in self.seeds if seed != own_id]
-        addresses = self._sample(1) or other_seeds
+        addresses = self._peers.sample(1) or other_seeds
         if not addresses:
             return []
         return [self._sync_request(self._random.choice(addresses))]
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -30,6 +30,7 @@
         self.dead: set[str] = set()
         self.sent = 0
         self.sent_bytes = 0
+        self.crossed_bytes = 0  # of them between availability zones
         self._sequence = count()
         self._queue: list[tuple[float, int, str, bytes]] = []
         self.swims_by_id: dict[str, Swim] = {}
@@ -65,11 +66,11 @@
                     continue
                 if self.now >= self._next_tick.setdefault(member_id, 0):
                     self._next_tick[member_id] = self.now + PERIOD
-                    self._post(member_id, swim.tick(self.now))
+                    self.post(member_id, swim.tick(self.now))
                     self._next_check[member_id] = self.now + PERIOD / 4
                 elif self.now >= self._next_check.get(member_id, 0):
                     self._next_check[member_id] = self.now + PERIOD / 4
-                    self._post(member_id, swim.check_timeouts(self.now))
+                    self.post(member_id, swim.check_timeouts(self.now))
 
     def run_until(self, condition: Callable[[], bool], seconds: float) -> bool:
         """Advance the clock until a condition holds or time is up.
@@ -110,11 +111,16 @@
         }
         return len(views) == 1
 
-    def _post(self, sender: str, datagrams: list[Datagram]) -> None:
+    def post(self, sender: str, datagrams: list[Datagram]) -> None:
+        """Send datagrams of a member."""
         for datagram in datagrams:
             self.sent += 1
             payload = encode(datagram.message)
             self.sent_bytes += len(payload)
+            receiver = self.swims_by_id.get(datagram.address)
+            zone = self.swims_by_id[sender].members.own.zone
+            if receiver is not None and receiver.members.own.zone != zone:
+                self.crossed_bytes += len(payload)
             is_cut = frozenset((sender, datagram.address)) in self.cut_links
             if is_cut or self.random.random() < self.loss:
                 continue
@@ -133,4 +139,4 @@
                 heappush(self._queue, later)
                 continue
             message: Message = decode(payload)
-            self._post(address, swim.handle(message, self.now))
+            self.post(address, swim.handle(message, self.now))
--- a/tests/test_swim.py
+++ b/tests/test_swim.py
@@ -98,3 +98,34 @@
     datagrams = swim.handle(Ping(7, peer, 0, []), 0)
     assert [type(one.message) for one in datagrams] == [Ack, SyncRequest]
     assert len(swim.handle(Ping(8, peer, 0, []), 0)) == 1
+
+
+def test_bytes_between_zones_stay_low_when_all_members_change() -> None:
+    """A fleet that starts changes every record, and each goes to all members.
+
+    What each member sends then may grow with the number of records, but not
+    also with the times that each of them is repeated, and most of it stays in
+    the zone. 60 records of 60 bytes are 3,600 bytes.
+    """
+    cluster = Cluster(60, seed=3, loss=0.02)
+    assert cluster.run_until(cluster.views_agree, 20)
+    cluster.run(8)
+    sent, crossed = cluster.sent_bytes, cluster.crossed_bytes
+    for member_id, swim in cluster.swims_by_id.items():
+        swim.members.update_own(slots=2)
+        cluster.post(member_id, swim.push())
+    changed = {2}
+    assert cluster.run_until(lambda: _slots(cluster) == changed, 10)
+    cluster.run(4)
+    members = len(cluster.swims_by_id)
+    records = members * 60
+    assert (cluster.sent_bytes - sent) / members < 10 * records
+    assert (cluster.crossed_bytes - crossed) / members < 4 * records
+
+
+def _slots(cluster: Cluster) -> set[int]:
+    return {
+        record.slots
+        for swim in cluster.swims_by_id.values()
+        for record in swim.members.by_id.values()
+    }
