Read the store at once after a restart, and gossip to any zone from small ones

Two of the changes can cost there: a restarted node waited up to 0.3 s for its peers' data though all of them had restarted too, and in zones of three nodes pushes went to the same two members. Which of the two it was has not been played apart.

--- a/bluebellsill/feed_reader.py
+++ b/bluebellsill/feed_reader.py
@@ -32,12 +32,7 @@
 _MAX_BACKOFF = 2.0  # seconds
 _FAILURES_UNTIL_LOST = 2  # consecutive failures before another node reads
 _LOST_RETRY_DELAY = 5.0  # seconds until a node that lost the store retries
-# Seconds without peer data until any node reads, for a fleet that starts and
-# for a node that restarts in a running one.
-_PEER_DATA_TIMEOUT = 1.0
-_RESTART_PEER_DATA_TIMEOUT = 0.3
-# Seconds between checks of a restarted node that has no data yet.
-_RESTART_CHECK_PERIOD = 0.05
+_PEER_DATA_TIMEOUT = 1.0  # seconds without peer data until any node reads
 _SOURCE = 'store'
 
 
@@ -48,9 +43,9 @@
     election is needed. A reader that cannot reach the store announces it,
     and the next node takes over. All other nodes receive the data from the
     readers, so that the load on the store grows with the number of zones
-    and not of nodes. A node that receives none soon after its start reads
-    the store itself; until it knows another node, it does not take itself
-    for the reader.
+    and not of nodes. In a fleet that starts, a node that knows no other one
+    does not take itself for the reader until it has received no data for
+    some time. A restarted node reads at once, since callers wait.
     """
 
     def __init__(
@@ -73,20 +68,19 @@
         self._failures = 0
         self._was_reader = False
         self._started_at = timers.clock.now()
-        self._peer_data_timeout = _PEER_DATA_TIMEOUT
+        self._may_read_alone = False
         self._log = get_logger('feed')
 
     def start(self, *, immediate: bool = False) -> None:
         """Check periodically whether this node has to read.
 
         Args:
-            immediate: Whether the fleet already runs, so that peers have
-                the data and callers wait.
+            immediate: Whether to check at once, because callers wait.
         """
         self._timers.every(_CHECK_PERIOD, self._check)
         if immediate:
-            self._peer_data_timeout = _RESTART_PEER_DATA_TIMEOUT
-            self._check_until_configured()
+            self._may_read_alone = True
+            self._check()
 
     def stop(self) -> None:
         """Stop reading, and let another node of the zone take over."""
@@ -104,22 +98,17 @@
         ids = candidate_ids or [member.id for member in zone_members]
         return own.id in rank(own.zone, ids, 1)
 
-    def _check_until_configured(self) -> None:
-        if self._state.revision or self._is_stopped:
-            return
-        self._check()
-        self._timers.after(_RESTART_CHECK_PERIOD, self._check_until_configured)
-
     def _check(self) -> None:
         if self._has_pending_read or self._is_stopped:
             return
         is_overdue = (
-            self._timers.clock.now() - self._started_at
-            > self._peer_data_timeout
+            self._timers.clock.now() - self._started_at > _PEER_DATA_TIMEOUT
         )
         is_peer_data_overdue = is_overdue and not self._state.revision
-        has_peers = len(self._members.live()) > 1
-        is_reader = self.is_reader and (has_peers or is_overdue)
+        may_read = (
+            self._may_read_alone or is_overdue or len(self._members.live()) > 1
+        )
+        is_reader = self.is_reader and may_read
         if is_reader != self._was_reader:
             self._was_reader = is_reader
             self._log.info('reader changed', is_reader=is_reader)
--- a/bluebellsill/peer_sampling.py
+++ b/bluebellsill/peer_sampling.py
@@ -15,6 +15,9 @@
 # Share of the draws near the node that may be of any zone. Each record still
 # crosses between two zones from many members.
 _ANY_ZONE_SHARE = 0.25
+# Members of the own zone below which draws are of any zone: the same few would
+# be drawn again and again, and an update would reach other zones late.
+_MIN_ZONE_PEERS = 8
 
 
 class PeerSampler:
@@ -41,8 +44,10 @@
         return [one for one in drawn if one != exclude][:count]
 
     def sample_near(self, count: int) -> list[str]:
-        """Return the ids of live members, most of them of the own zone."""
+        """Return the ids of live members, most of them of a large own zone."""
         self._update()
+        if len(self._zone_ids) < _MIN_ZONE_PEERS:
+            return self.sample(count)
         near = sum(
             self._random.random() >= _ANY_ZONE_SHARE for _ in range(count)
         )
