--- a/bluebellsill/discovery.py
+++ b/bluebellsill/discovery.py
@@ -50,8 +50,8 @@
     Membership itself is gossiped from node to node; the store only serves
     to find a first peer. An entry may disappear without notice, so each
     registered node checks periodically that its own still exists. The calls
-    of the store grow with the number of zones: apart from one cheap read per
-    start, only the few registered nodes make any.
+    of the store grow with the number of zones: only the few registered nodes
+    read often; the others read at their start and once a minute.
     """
 
     def __init__(
