Log the rate limit and the departure that a target states

Cause: logs and metrics had neither the rate that a target states nor the number of starts there, so they could not tell whether a node had read it. Change: the platform dialect reads both headers; the node beside the target logs each change ('target directive changed') and has the gauges target_rate_limit and starts. Nothing decides by them yet.

--- a/bluebellsill/mesh_node.py
+++ b/bluebellsill/mesh_node.py
@@ -229,6 +229,8 @@
             gossip_bytes_sent=lambda: self._peers.gossip.bytes_sent,
             in_flight=lambda: self._caller_side.gateway.in_flight,
             at_target=lambda: self._runner.in_flight,
+            starts=lambda: self._metrics.counts['starts'],
+            target_rate_limit=lambda: self._runner.directives.rate_limit_gauge,
             target_connections=lambda: self._runner.watch.opened_connections,
             revision=lambda: self._state.revision,
             log_lines_dropped=flush_logs,
--- a/bluebellsill/platform/headers.py
+++ b/bluebellsill/platform/headers.py
@@ -10,8 +10,10 @@
     'COLD_LEFT',
     'DEADLINE',
     'EXPECTED_TARGET',
+    'LEAVING',
     'LOAD',
     'NOT_RUN',
+    'RATE_LIMIT',
     'REQUEST_ID',
     'STAMP',
     'TARGET_NAME',
@@ -33,6 +35,11 @@
 LOAD = 'bluebellsill-server-load'
 # How long a target stays cold, in milliseconds; in responses to probes.
 COLD_LEFT = 'bluebellsill-cold-ms'
+# The requests a second, a decimal number, that a target takes from all nodes
+# together; absent while it has no limit.
+RATE_LIMIT = 'bluebellsill-server-limit'
+# 1 in every response of a target that is leaving.
+LEAVING = 'bluebellsill-server-leaving'
 # A target's signature of its response; forwarded unchanged.
 STAMP = 'bluebellsill-server-stamp'
 
--- a/bluebellsill/platform/target_dialect.py
+++ b/bluebellsill/platform/target_dialect.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from http import HTTPStatus
+from math import inf
 from typing import TYPE_CHECKING
 
 from bluebellsill.errors import ErrorKind
@@ -11,12 +12,15 @@
     COLD_LEFT,
     DEADLINE,
     EXPECTED_TARGET,
+    LEAVING,
     LOAD,
     NOT_RUN,
+    RATE_LIMIT,
     REQUEST_ID,
     TARGET_NAME,
 )
-from bluebellsill.target_dialect import TargetHealth
+from bluebellsill.logs import get_logger
+from bluebellsill.target_dialect import NO_DIRECTIVE, TargetDirective, TargetHealth
 
 if TYPE_CHECKING:
     from bluebellsill.announcement import Announcement
@@ -30,6 +34,7 @@
 _LOAD_FIELDS = 4  # running, queued, slots, slowness
 _SLOTS_INDEX = 2  # in the load header
 _SLOWNESS_INDEX = 3  # in the load header
+_IS_LEAVING = '1'
 _NO_LOAD = [0 for _ in range(_LOAD_FIELDS)]
 
 
@@ -40,6 +45,10 @@
         id_header=REQUEST_ID, allows_body_until_close=True
     )
 
+    def __init__(self) -> None:
+        """Create the dialect; it keeps no state of a target."""
+        self._log = get_logger('target')
+
     def headers(
         self,
         call: Call,
@@ -77,6 +86,21 @@
         percent = _load(response)[_SLOWNESS_INDEX]
         return percent / _PERCENT if percent else None
 
+    def directive(self, response: Response) -> TargetDirective | None:
+        """Return what the target asks for, None if it cannot be read."""
+        text = response.header(RATE_LIMIT)
+        is_leaving = response.header(LEAVING) == _IS_LEAVING
+        if not text:
+            return TargetDirective(is_leaving=True) if is_leaving else NO_DIRECTIVE
+        try:
+            rate = float(text)
+        except ValueError:
+            rate = -1
+        if 0 <= rate < inf:
+            return TargetDirective(rate, is_leaving)
+        self._log.warning('rate limit of the target is invalid', text=text)
+        return None
+
 
 def _load(response: Response) -> list[int]:
     """Return running and queued requests, slots and slowness in percent.
--- a/bluebellsill/target_dialect.py
+++ b/bluebellsill/target_dialect.py
@@ -14,7 +14,13 @@
     from bluebellsill.http import Headers, Response
     from bluebellsill.messages import Call
 
-__all__ = ('NativeDialect', 'TargetDialect', 'TargetHealth')
+__all__ = (
+    'NO_DIRECTIVE',
+    'NativeDialect',
+    'TargetDialect',
+    'TargetDirective',
+    'TargetHealth',
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,6 +40,23 @@
     slots: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class TargetDirective:
+    """What a target asks of all nodes in a response.
+
+    Attributes:
+        rate_limit: The requests a second that it takes from all nodes
+            together, None without a limit.
+        is_leaving: Whether it is to get no new requests.
+    """
+
+    rate_limit: float | None = None
+    is_leaving: bool = False
+
+
+NO_DIRECTIVE = TargetDirective()
+
+
 class TargetDialect(Protocol):
     """The HTTP conventions of one kind of target."""
 
@@ -65,6 +88,12 @@
         None if the response does not report it.
         """
 
+    def directive(self, response: Response) -> TargetDirective | None:
+        """Return what the target asks for in a response.
+
+        None if it cannot be read, which says nothing about the target.
+        """
+
 
 class NativeDialect:
     """The native HTTP conventions, as defined in docs/INTERFACES.md."""
@@ -94,3 +123,7 @@
 
     def slowness(self, response: Response) -> None:
         """Return None: native targets do not report their slowness."""
+
+    def directive(self, response: Response) -> TargetDirective:
+        """Return no directive: native targets limit themselves."""
+        return NO_DIRECTIVE
--- a/bluebellsill/target_runner.py
+++ b/bluebellsill/target_runner.py
@@ -18,6 +18,7 @@
 from bluebellsill.runs import Run, TargetOwner, make_ticket
 from bluebellsill.slowness_meter import SlownessMeter
 from bluebellsill.target_dialect import NativeDialect, TargetDialect
+from bluebellsill.target_directives import DirectiveTracker
 from bluebellsill.target_watch import TargetWatch
 from bluebellsill.target_watch_events import TargetWatchEvents
 from bluebellsill.watch_rules import DEFAULT_WATCH_RULES, WatchRules
@@ -74,6 +75,8 @@
         self._clock = reactor.timers.clock
         self._owner = owner
         self._quarantine = quarantine
+        self._metrics = metrics
+        self.directives = DirectiveTracker(self._dialect)
         self.breaker = Breaker()
         self.watch = TargetWatch(
             reactor,
@@ -117,6 +120,7 @@
 
     def on_probed(self, response: Response) -> None:
         """Update the slowness estimate from the response to a probe."""
+        self.directives.observe(response)
         self._slowness_meter.observe(self._dialect.slowness(response))
         self._slowness_meter.end()
 
@@ -264,6 +268,7 @@
             self._release_slot(run.ticket)
             run.respond(self._replies.refusal(call, kind))
             return
+        self._metrics.counts['starts'] += 1
         headers = self._dialect.headers(call, timeout, announcement)
         request = Request(call.method, call.path, headers, call.body)
         run.exchange = pool.request(
@@ -288,6 +293,7 @@
     def _on_answered(self, run: Run, response: Response) -> None:
         call = run.call
         self.watch.on_answer()
+        self.directives.observe(response)
         self._slowness_meter.observe(self._dialect.slowness(response))
         rejection = self._dialect.rejection(response)
         if rejection is not None:
