--- a/bluebellsill/platform/headers.py
+++ b/bluebellsill/platform/headers.py
@@ -37,9 +37,9 @@
 COLD_LEFT = 'bluebellsill-cold-ms'
 # The requests a second, a decimal number, that a target takes from all nodes
 # together; absent while it has no limit.
-RATE_LIMIT = 'bluebellsill-server-limit'
+RATE_LIMIT = 'server-limit'
 # 1 in every response of a target that is leaving.
-LEAVING = 'bluebellsill-server-leaving'
+LEAVING = 'server-leaving'
 # A target's signature of its response; forwarded unchanged.
 STAMP = 'bluebellsill-server-stamp'
 
--- a/bluebellsill/platform/target_dialect.py
+++ b/bluebellsill/platform/target_dialect.py
@@ -20,7 +20,11 @@
     TARGET_NAME,
 )
 from bluebellsill.logs import get_logger
-from bluebellsill.target_dialect import NO_DIRECTIVE, TargetDirective, TargetHealth
+from bluebellsill.target_dialect import (
+    NO_DIRECTIVE,
+    TargetDirective,
+    TargetHealth,
+)
 
 if TYPE_CHECKING:
     from bluebellsill.announcement import Announcement
@@ -91,7 +95,9 @@
         text = response.header(RATE_LIMIT)
         is_leaving = response.header(LEAVING) == _IS_LEAVING
         if not text:
-            return TargetDirective(is_leaving=True) if is_leaving else NO_DIRECTIVE
+            return (
+                TargetDirective(is_leaving=True) if is_leaving else NO_DIRECTIVE
+            )
         try:
             rate = float(text)
         except ValueError:
