--- a/bluebellsill/platform/target_dialect.py
+++ b/bluebellsill/platform/target_dialect.py
@@ -8,6 +8,7 @@
 
 from bluebellsill.errors import ErrorKind
 from bluebellsill.http_client import ResponseRules
+from bluebellsill.logs import get_logger
 from bluebellsill.platform.headers import (
     COLD_LEFT,
     DEADLINE,
@@ -19,7 +20,6 @@
     REQUEST_ID,
     TARGET_NAME,
 )
-from bluebellsill.logs import get_logger
 from bluebellsill.target_dialect import (
     NO_DIRECTIVE,
     TargetDirective,
--- a/bluebellsill/standins/mesh_target.py
+++ b/bluebellsill/standins/mesh_target.py
@@ -16,7 +16,7 @@
 from result import Err, Result
 
 from bluebellsill.clock import SystemClock
-from bluebellsill.http import Request, Response, json_response
+from bluebellsill.http import Headers, Request, Response, json_response
 from bluebellsill.http_client import HttpFailure, HttpPool
 from bluebellsill.http_server import HttpServer, Reply
 from bluebellsill.platform.endpoints import (
@@ -30,8 +30,10 @@
     COLD_LEFT,
     DEADLINE,
     EXPECTED_TARGET,
+    LEAVING,
     LOAD,
     NOT_RUN,
+    RATE_LIMIT,
     REQUEST_ID,
     STAMP,
     TARGET_NAME,
@@ -90,12 +92,21 @@
         cold_seconds: How long the target reports to stay cold.
         fails: Whether every request gets status 500, but probes succeed.
         is_silent: Whether no reports are sent.
+        rate_limit: The requests a second that responses state as the limit,
+            None for no limit; requests beyond it are answered as well.
+        states_leaving: Whether responses state that the target is leaving,
+            while its reports do not.
+        probes_state_load_only: Whether responses to probes lack the two
+            statements above.
     """
 
     slowness: float = 1
     cold_seconds: float = 0
     fails: bool = False
     is_silent: bool = False
+    rate_limit: float | None = None
+    states_leaving: bool = False
+    probes_state_load_only: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -222,6 +233,8 @@
             (COLD_LEFT, str(cold_ms)),
             self._load(),
         ]
+        if not self._behaviour.probes_state_load_only:
+            headers += self._directive()
         reply.send(Response(status, headers))
 
     def _admit(self, job: _Job) -> None:
@@ -242,6 +255,7 @@
     def _reject(self, job: _Job) -> None:
         self._counts['rejected'] += 1
         headers = [(NOT_RUN, '1'), self._load(), self._id(job)]
+        headers += self._directive()
         job.reply.send(Response(HTTPStatus.SERVICE_UNAVAILABLE, headers))
 
     def _run(self, job: _Job) -> None:
@@ -322,6 +336,7 @@
         self._counts['answered'] += 1
         document = {'id': job.request.header(REQUEST_ID), 'by': self._name}
         headers = [self._load(), self._id(job), (STAMP, self._name)]
+        headers += self._directive()
         job.reply.send(Response(status, headers, json.encode(document)))
         self._release_slot(job)
 
@@ -339,6 +354,15 @@
     def _id(self, job: _Job) -> tuple[str, str]:
         return REQUEST_ID, job.request.header(REQUEST_ID)
 
+    def _directive(self) -> Headers:
+        behaviour = self._behaviour
+        headers = []
+        if behaviour.rate_limit is not None:
+            headers.append((RATE_LIMIT, str(behaviour.rate_limit)))
+        if behaviour.states_leaving:
+            headers.append((LEAVING, '1'))
+        return headers
+
     def _load(self) -> tuple[str, str]:
         slowness = int(self._behaviour.slowness * _PERCENT)
         values = (
