Keep the starts at a target within the rate that it states

Seen: a target in need got 9 to 12 requests a second while it stated 2.8 to 4.8. Cause: the stated rate was passed on to callers and decided nothing. Change: the node beside the target, through which every request to it goes, paces the starts by a token bucket of the stated rate; calls beyond it wait if they stay in time, else they are refused with the time of the next start. A response that states no rate ends the limit only if its request was sent after the rate was last read, since responses may be read out of order.

--- a/bluebellsill/admission.py
+++ b/bluebellsill/admission.py
@@ -106,6 +106,9 @@
     def limit_starts_until(self, cold_until: float, per_second: float) -> None:
         """Limit the start rate until the target is warm."""
 
+    def limit_rate(self, rate: float | None, now: float) -> None:
+        """Limit the starts a second, also of a warm target; None ends it."""
+
     def resize(self, slots: int) -> None:
         """Set how many requests the warm target can run at a time."""
 
@@ -242,6 +245,9 @@
     def limit_starts_until(self, cold_until: float, per_second: float) -> None:
         """Do nothing: the ramp finds the limit of a cold target itself."""
 
+    def limit_rate(self, rate: float | None, now: float) -> None:
+        """Do nothing: targets that state no slots state no rate either."""
+
     def resize(self, slots: int) -> None:
         """Set how many requests the warm target can run at a time."""
         self.ramp.resize(slots)
--- a/bluebellsill/slot_gate.py
+++ b/bluebellsill/slot_gate.py
@@ -12,6 +12,7 @@
 
 from bluebellsill.admission import CallTracker, Decision, Ticket
 from bluebellsill.concurrency import ConcurrencyEstimator
+from bluebellsill.rate_limiter import RateLimiter
 from bluebellsill.service_times import ServiceTimes
 from bluebellsill.slowness import SlownessTracker
 from bluebellsill.start_rate import (
@@ -29,6 +30,9 @@
 # Seconds to try another node: a round trip between two availability zones of
 # the platform, and the slowness report of that node's target.
 _REROUTE_TIME = 0.004
+# Seconds by which a call starts later than a stated rate allows it: a timer
+# that fires late, and the slowness report before the start.
+_START_DELAY = 0.02
 # Seconds by which the end of one cold period differs at most between two
 # reports: they are read on arrival, but a busy node may read them late.
 _COLD_REPORT_TOLERANCE = 0.5
@@ -61,6 +65,7 @@
         super().__init__()
         self._cold_rate_allowance = cold_rate_allowance
         self.start_limiter = StartRateLimiter()
+        self._rate_limiter = RateLimiter()
         self.slowness = SlownessTracker()
         self._concurrency = ConcurrencyEstimator(1)
         self._service_times = ServiceTimes()
@@ -84,7 +89,7 @@
         """
         if now >= ticket.expires_at:
             return Decision.REFUSE, None
-        has_room = self.load < self.limit and not self.start_limiter.wait(now)
+        has_room = self.load < self.limit and not self._start_delay(now)
         if has_room and not self._queue and self._should_start_now(ticket, now):
             self._start(ticket, now)
             return Decision.RUN, None
@@ -122,17 +127,19 @@
         """Remove and return the calls that can no longer meet their deadline.
 
         A call that will miss only its target latency stays while there are
-        free slots for all waiting calls: it is served late rather than not
-        at all. A call that may not wait is removed as soon as the target's
+        free slots for all waiting calls and the target's rate allows a start:
+        it is served late rather than not at all. A call that may not wait is removed as soon as the target's
         slowness is known or there is no capacity for a start.
         """
         is_decided = self.slowness.is_fresh(now) or not self._has_capacity(now)
-        exceeds_free_slots = len(self._queue) > self.limit - len(self._running)
+        exceeds_capacity = self._rate_limiter.wait(now) > 0 or (
+            len(self._queue) > self.limit - len(self._running)
+        )
         expired = [
             ticket
             for ticket in self._queue
             if now >= ticket.expires_at - self._service_time(ticket)
-            or (exceeds_free_slots and now > ticket.leaves_queue_at)
+            or (exceeds_capacity and now > ticket.leaves_queue_at)
             or (is_decided and not ticket.may_wait)
         ]
         for ticket in expired:
@@ -148,7 +155,7 @@
         """
         if not self._queue or len(self._running) >= self.limit:
             return None
-        return self.start_limiter.wait(now) or None
+        return self._start_delay(now) or None
 
     def needs_slowness_report(self, now: float) -> bool:
         """Return whether only an outdated slowness keeps a call waiting."""
@@ -169,6 +176,7 @@
         heapify(free_in)
         own_order = _queue_order(ticket, self._service_time(ticket), now)
         delay = self.slowness.expected_start_delay
+        ahead = 0
         for waiting in self._queue:
             service_time = self._service_time(waiting)
             if (
@@ -176,7 +184,12 @@
                 and _queue_order(waiting, service_time, now) <= own_order
             ):
                 heapreplace(free_in, free_in[0] + service_time + delay)
-        wait = max(free_in[0], self.start_limiter.wait(now))
+                ahead += 1
+        wait = max(
+            free_in[0],
+            self.start_limiter.wait(now),
+            self._rate_limiter.wait(now, ahead),
+        )
         if self.slowness.benefits_from_waiting(self._service_time(ticket)):
             wait = max(wait, self.slowness.expected_remaining)
         return wait
@@ -210,6 +223,15 @@
             per_second
         )
 
+    def limit_rate(self, rate: float | None, now: float) -> None:
+        """Set the requests a second that the target takes, None for no limit.
+
+        Args:
+            rate: The rate for all nodes together.
+            now: The time in seconds.
+        """
+        self._rate_limiter.change_rate(rate, now)
+
     def resize(self, slots: int) -> None:
         """Set how many requests the target can run at a time."""
         if slots != self._concurrency.slots:
@@ -217,6 +239,9 @@
 
     def _can_start_in_time(self, ticket: Ticket, now: float) -> bool:
         starts_at = now + self.expected_wait(ticket, now)
+        if self._rate_limiter.wait(now):
+            # At a stated rate, the call has no earlier chance to start.
+            starts_at += _START_DELAY
         return starts_at <= self._latest_start(ticket)
 
     def _latest_start(self, ticket: Ticket) -> float:
@@ -245,7 +270,11 @@
 
     def _has_capacity(self, now: float) -> bool:
         has_slot = len(self._running) < self.limit
-        return has_slot and not self.start_limiter.wait(now)
+        return has_slot and not self._start_delay(now)
+
+    def _start_delay(self, now: float) -> float:
+        """Return the seconds until the target's rates allow a start."""
+        return max(self.start_limiter.wait(now), self._rate_limiter.wait(now))
 
     def _service_time(self, ticket: Ticket) -> float:
         """Return the service time in seconds while the target is not slow."""
@@ -260,6 +289,7 @@
         ticket.started_at = now
         ticket.slowness = self.slowness.factor
         self.start_limiter.on_start(now)
+        self._rate_limiter.on_start(now)
         self._running.add(ticket)
         ticket.concurrency = len(self._running)
 
--- a/bluebellsill/target_runner.py
+++ b/bluebellsill/target_runner.py
@@ -17,7 +17,11 @@
 from bluebellsill.reply_builder import ReplyBuilder
 from bluebellsill.runs import Run, TargetOwner, make_ticket
 from bluebellsill.slowness_meter import SlownessMeter
-from bluebellsill.target_dialect import NativeDialect, TargetDialect
+from bluebellsill.target_dialect import (
+    NativeDialect,
+    TargetDialect,
+    TargetDirective,
+)
 from bluebellsill.target_directives import DirectiveTracker
 from bluebellsill.target_watch import TargetWatch
 from bluebellsill.target_watch_events import TargetWatchEvents
@@ -76,7 +80,9 @@
         self._owner = owner
         self._quarantine = quarantine
         self._metrics = metrics
-        self.directives = DirectiveTracker(self._dialect)
+        self.directives = DirectiveTracker(
+            self._dialect, self._clock, self._on_directive
+        )
         self.breaker = Breaker()
         self.watch = TargetWatch(
             reactor,
@@ -113,14 +119,20 @@
 
     def announce(self, announcement: Announcement) -> None:
         """Process an announcement of the target."""
+        self.directives.on_announced(announcement)
         self.watch.announce(announcement)
         self.gate.resize(announcement.slots or self.watch.service.slots)
         if announcement.is_leaving:
             self.refuse_queue(ErrorKind.LEAVING)
 
-    def on_probed(self, response: Response) -> None:
-        """Update the slowness estimate from the response to a probe."""
-        self.directives.observe(response)
+    def on_probed(self, response: Response, sent_at: float) -> None:
+        """Update the target's state from the response to a probe.
+
+        Args:
+            response: The response.
+            sent_at: When the probe was sent, in seconds.
+        """
+        self.directives.observe(response, sent_at)
         self._slowness_meter.observe(self._dialect.slowness(response))
         self._slowness_meter.end()
 
@@ -293,7 +305,7 @@
     def _on_answered(self, run: Run, response: Response) -> None:
         call = run.call
         self.watch.on_answer()
-        self.directives.observe(response)
+        self.directives.observe(response, run.ticket.started_at)
         self._slowness_meter.observe(self._dialect.slowness(response))
         rejection = self._dialect.rejection(response)
         if rejection is not None:
@@ -339,8 +351,10 @@
             run.respond(self._replies.refusal(call, ErrorKind.NO_TARGET))
             return
         self.breaker.on_failure(self._clock.now())
+        others = self._runs_by_ticket.values()
         fingerprints = [
-            each.call.fingerprint for each in self._concurrent_runs(run)
+            call.fingerprint,
+            *(one.call.fingerprint for one in others if one.ticket.started_at),
         ]
         self.gate.on_overload()
         # The failure is sent only after the other nodes were told of a crash.
@@ -351,13 +365,9 @@
             ),
         )
 
-    def _concurrent_runs(self, run: Run) -> list[Run]:
-        others = [
-            other
-            for other in self._runs_by_ticket.values()
-            if other.ticket.started_at
-        ]
-        return [run, *others]
+    def _on_directive(self, directive: TargetDirective) -> None:
+        self.gate.limit_rate(directive.rate_limit, self._clock.now())
+        self.admit()
 
     def _release_slot(self, ticket: Ticket) -> None:
         self.gate.finish(ticket)
--- a/bluebellsill/target_watch.py
+++ b/bluebellsill/target_watch.py
@@ -127,10 +127,13 @@
         rules = self._dialect.response_rules
         address = Address.parse(expected.address)
         self._metrics.counts['probes'] += 1
+        sent_at = self._clock.now()
         HttpPool(self._reactor, address, rules).request(
             Request('GET', service.health_path, [('host', expected.address)]),
             _PROBE_TIMEOUT,
-            lambda outcome: self._on_discovery_probed(expected, outcome),
+            lambda outcome: self._on_discovery_probed(
+                expected, outcome, sent_at
+            ),
         )
 
     def assume_cold(self) -> None:
@@ -256,6 +259,7 @@
         self,
         expected: Announcement,
         outcome: Result[Response, HttpFailure],
+        sent_at: float,
     ) -> None:
         if isinstance(outcome, Err) or self.announcement is not None:
             return
@@ -274,6 +278,7 @@
                 is_provisional=True,
             ),
         )
+        self._owner.on_probed(outcome.ok_value, sent_at)
 
     def _on_probed(self, outcome: Result[Response, HttpFailure]) -> None:
         self._is_probing = False
@@ -281,7 +286,7 @@
             # Health reports can be wrong, so they never raise the limit.
             self._failed_probes = 0
             self._on_health(self._dialect.health(outcome.ok_value))
-            self._owner.on_probed(outcome.ok_value)
+            self._owner.on_probed(outcome.ok_value, self._probed_at)
             return
         self._failed_probes += 1
         if self._rules.probes_while_busy and self._has_answered_lately():
--- a/bluebellsill/target_watch_events.py
+++ b/bluebellsill/target_watch_events.py
@@ -42,9 +42,9 @@
         self._runner.gate.limit_starts_until(cold_until, per_second)
         self._runner.admit()
 
-    def on_probed(self, response: Response) -> None:
+    def on_probed(self, response: Response, sent_at: float) -> None:
         """Pass on a probe's response, which may report slowness."""
-        self._runner.on_probed(response)
+        self._runner.on_probed(response, sent_at)
 
     def on_target_discovered(self, announcement: Announcement) -> None:
         """Use the announcement of a probe until the target reports itself."""
--- a/bluebellsill/watch_rules.py
+++ b/bluebellsill/watch_rules.py
@@ -51,8 +51,8 @@
     def on_cold_until(self, cold_until: float) -> None:
         """Handle the time until which the target is cold, 0 if it is warm."""
 
-    def on_probed(self, response: Response) -> None:
-        """Handle the response to a probe."""
+    def on_probed(self, response: Response, sent_at: float) -> None:
+        """Handle the response to a probe sent at a time in seconds."""
 
     def on_target_discovered(self, announcement: Announcement) -> None:
         """Handle a target that a probe found before its first report."""
--- a/tests/test_target_watch.py
+++ b/tests/test_target_watch.py
@@ -49,7 +49,7 @@
     def on_cold_until(self, cold_until: float) -> None:
         """Ignore the event."""
 
-    def on_probed(self, response: Response) -> None:
+    def on_probed(self, response: Response, sent_at: float) -> None:
         """Ignore the event."""
 
     def on_target_discovered(self, announcement: Announcement) -> None:
