Let entry nodes tell a restarted node the rate that its target stated

Seen: after a restart of the node beside a target that states 2 requests a second, it got 36 in 4 s (17 allowed) if probes do not state the rate; entry nodes also took a target that refused for its rate for a full one, used 9 of 12 starts, and sent it one call in the 2 s after it had stopped limiting. Cause: the rate was only in the memory of one process, and a refusal had one meaning, full. Change: answers and refusals carry a note of what the target asks for; entry nodes keep it beyond the membership of that node and send it with each call, so that the calls of exactly the nodes that were told bring it back. A target that only paces its starts is avoided until the next start, half a second at most, and its load is taken as reported. A waiting call that a more urgent one keeps from starting in time is refused at once.

--- a/bluebellsill/dispatch.py
+++ b/bluebellsill/dispatch.py
@@ -11,6 +11,7 @@
 
 if TYPE_CHECKING:
     from bluebellsill.clock import Clock
+    from bluebellsill.messages import TargetNote
     from bluebellsill.retries import RetryBudget
     from bluebellsill.routing import Router
     from bluebellsill.target_view import TargetView
@@ -38,11 +39,13 @@
         node_id: The node beside the target.
         seconds: The timeout of the attempt.
         may_wait: Whether the call may wait in that node's queue.
+        note: What that target asked of all nodes last, None if nothing.
     """
 
     node_id: str
     timeout: float
     may_wait: bool = True
+    note: TargetNote | None = None
 
 
 class Dispatch:
@@ -118,6 +121,7 @@
         has_failed_below: bool = False,
         slowness: float = 1,
         failing: float = 0,
+        note: TargetNote | None = None,
     ) -> Attempt | None:
         """Handle a complete answer and the load reported with it.
 
@@ -132,6 +136,7 @@
             slowness: The target's current service time relative to its
                 usual one.
             failing: The share of the target's recent answers that failed.
+            note: What the target asks of all nodes, None if nothing.
 
         Returns:
             The next attempt, or None to pass the answer on.
@@ -140,6 +145,7 @@
         view = self._end_attempt()
         self._sends += 1
         if view is not None:
+            self._record_note(view, note, now)
             view.on_load_report(load, limit, now)
             view.on_performance_report(slowness, failing, now)
             if status < HTTPStatus.INTERNAL_SERVER_ERROR:
@@ -171,6 +177,7 @@
         retry_after: float = 0,
         slowness: float = 1,
         failing: float = 0,
+        note: TargetNote | None = None,
     ) -> Attempt | Problem:
         """Handle a refusal: the target did not run the call.
 
@@ -184,6 +191,7 @@
             slowness: The target's current service time relative to its
                 usual one.
             failing: The share of the target's recent answers that failed.
+            note: What the target asks of all nodes, None if nothing.
         """
         view = self._end_attempt()
         self._sends += has_arrived
@@ -192,14 +200,19 @@
             self._retry_after = min(earliest, retry_after)
         if view is not None:
             now = self._clock.now()
-            view.on_load_report(max(load, limit), limit, now)
             view.on_performance_report(slowness, failing, now)
+            # A node that does not know its target yet sends no note.
+            known_note = note or self._router.notes.of(view.id)
+            self._record_note(view, known_note, now)
             view.on_refusal(
                 now,
+                load,
+                limit,
                 is_full=kind is ErrorKind.OVERLOADED,
                 has_arrived=has_arrived,
+                paced_seconds=_paced_seconds(note, retry_after),
             )
-            if not self._may_wait and kind is ErrorKind.OVERLOADED:
+            if kind is ErrorKind.OVERLOADED and not self._may_wait:
                 self._queue_seconds_by_node[view.id] = retry_after
         problem = Problem(kind, f'refused by {self._tried[-1]}')
         if not RESPONSES_BY_KIND[kind].is_retryable_elsewhere:
@@ -256,7 +269,10 @@
         self._sent_at = now
         view.call_start_times.append(now)
         return Attempt(
-            view.id, self._attempt_timeout(view, left), self._may_wait
+            view.id,
+            self._attempt_timeout(view, left),
+            self._may_wait,
+            self._router.notes.of(view.id),
         )
 
     def _next_target(self, now: float) -> TargetView | None:
@@ -294,6 +310,11 @@
         hang_after = _HANG_LATENCY_FACTOR * view.latency if is_known else left
         return left if is_last or hang_after > left / 2 else left / 2
 
+    def _record_note(
+        self, view: TargetView, note: TargetNote | None, now: float
+    ) -> None:
+        self._router.notes.record(view.id, note)
+
     def _end_attempt(self) -> TargetView | None:
         view = self._view
         self._view = None
@@ -308,3 +329,9 @@
         if self._retry_after:
             return replace(problem, retry_after=self._retry_after)
         return problem
+
+
+def _paced_seconds(note: TargetNote | None, retry_after: float) -> float:
+    """Return the wait for a target that states its rate, 0 for others."""
+    is_paced = note is not None and note.rate_limit is not None
+    return retry_after if is_paced else 0
--- a/bluebellsill/messages.py
+++ b/bluebellsill/messages.py
@@ -31,6 +31,7 @@
     'RevisionRequest',
     'Revisions',
     'Settle',
+    'TargetNote',
     'ZoneReport',
     'ZoneReportRequest',
     'decode',
@@ -72,6 +73,26 @@
     id: int
 
 
+class TargetNote(WireMessage, frozen=True):
+    """What a target asks of all nodes, as another node was told.
+
+    The entry nodes keep it, so that a node that was restarted learns from
+    their calls what its target stated before.
+
+    Attributes:
+        target: The target's name.
+        start_id: Identifies the start of the target that stated it.
+        rate_limit: The requests a second that the target takes from all
+            nodes together, None for no limit.
+        is_leaving: Whether the target is to get no new requests.
+    """
+
+    target: str
+    start_id: str
+    rate_limit: float | None = None
+    is_leaving: bool = False
+
+
 class Call(WireMessage, frozen=True, tag=4):
     """A request for the target of the receiving node.
 
@@ -97,6 +118,8 @@
             request.
         may_wait: Whether the call may wait in the queue of the receiving
             node. A call that may not wait is tried on other nodes first.
+        note: What the target stated last to the entry node, None without a
+            limit.
     """
 
     id: int
@@ -116,6 +139,7 @@
     route: str = ''
     is_inner: bool = False
     may_wait: bool = True
+    note: TargetNote | None = None
 
 
 class Answer(WireMessage, frozen=True, tag=5):
@@ -132,6 +156,7 @@
             it called failed. That call has already been retried there.
         slowness: How many times longer than usual requests take there.
         failing: The fraction of the target's recent answers that failed.
+        note: What the target asks of all nodes, None if nothing.
     """
 
     id: int
@@ -143,6 +168,7 @@
     has_failed_below: bool = False
     slowness: float = 1
     failing: float = 0
+    note: TargetNote | None = None
 
 
 class Refusal(WireMessage, frozen=True, tag=6):
@@ -158,6 +184,7 @@
             rather than by its node.
         slowness: How many times longer than usual requests take there.
         failing: The fraction of the target's recent answers that failed.
+        note: What the target asks of all nodes, None if nothing.
     """
 
     id: int
@@ -168,6 +195,7 @@
     has_arrived: bool = False
     slowness: float = 1
     failing: float = 0
+    note: TargetNote | None = None
 
 
 class Failure(WireMessage, frozen=True, tag=7):
--- a/bluebellsill/outbound_call.py
+++ b/bluebellsill/outbound_call.py
@@ -133,6 +133,7 @@
             inbound.route.name,
             inbound.caller != EXTERNAL_CALLER,
             attempt.may_wait,
+            attempt.note,
         )
 
     def _target_latency_ms(self) -> int:
@@ -162,6 +163,7 @@
                     retry_after=reply.retry_ms / 1000,
                     slowness=reply.slowness,
                     failing=reply.failing,
+                    note=reply.note,
                 ),
             )
         elif isinstance(reply, Failure):
@@ -190,6 +192,7 @@
             has_failed_below=answer.has_failed_below,
             slowness=answer.slowness,
             failing=answer.failing,
+            note=answer.note,
         )
         if retry is not None:
             self._apply(retry)
--- a/bluebellsill/reply_builder.py
+++ b/bluebellsill/reply_builder.py
@@ -16,6 +16,7 @@
     from bluebellsill.http import Response
     from bluebellsill.metrics import Metrics
     from bluebellsill.slowness_meter import SlownessMeter
+    from bluebellsill.target_directives import DirectiveTracker
 
 __all__ = ('ReplyBuilder',)
 
@@ -32,6 +33,7 @@
         breaker: Breaker,
         metrics: Metrics,
         clock: Clock,
+        directives: DirectiveTracker,
     ) -> None:
         """Create a builder; each reply has the state at its creation.
 
@@ -41,12 +43,14 @@
             breaker: Provides the share of failed answers.
             metrics: Counts the refusals.
             clock: Tells the time.
+            directives: Provides what the target asks of all nodes.
         """
         self._admission = admission
         self._slowness_meter = slowness_meter
         self._breaker = breaker
         self._metrics = metrics
         self._clock = clock
+        self._directives = directives
         self._log = get_logger('runner')
 
     def refusal(
@@ -87,6 +91,7 @@
             has_arrived,
             self._slowness_meter.slowness,
             self._breaker.failure_share(self._clock.now()),
+            self._directives.note(),
         )
 
     def answer(
@@ -108,4 +113,5 @@
             has_failed_below,
             self._slowness_meter.slowness,
             self._breaker.failure_share(self._clock.now()),
+            self._directives.note(),
         )
--- a/bluebellsill/routing.py
+++ b/bluebellsill/routing.py
@@ -6,6 +6,7 @@
 
 from bluebellsill.outlier_detection import OutlierDetector
 from bluebellsill.rendezvous import rank
+from bluebellsill.target_notes import TargetNotes
 from bluebellsill.target_view import TargetView
 
 if TYPE_CHECKING:
@@ -21,7 +22,14 @@
 
 
 class Router:
-    """Chooses among a subset of the targets of one service."""
+    """Chooses among a subset of the targets of one service.
+
+    Attributes:
+        views_by_id: The targets of the subset, by their node.
+        outlier_detector: Compares the latencies of the targets.
+        notes: What targets ask of all nodes, also of those that are not in
+            the subset at present.
+    """
 
     def __init__(
         self, own_id: str, own_zone: str, policy: BalancingPolicy
@@ -37,6 +45,7 @@
         """
         self.views_by_id: dict[str, TargetView] = {}
         self.outlier_detector = OutlierDetector()
+        self.notes = TargetNotes()
         self._own_id = own_id
         self._own_zone = own_zone
         self._policy = policy
--- a/bluebellsill/slot_gate.py
+++ b/bluebellsill/slot_gate.py
@@ -85,7 +85,7 @@
             now: The time in seconds.
 
         Returns:
-            The decision, and None: no waiting call is shed for another.
+            The decision, and the waiting call that would start too late now.
         """
         if now >= ticket.expires_at:
             return Decision.REFUSE, None
@@ -102,7 +102,7 @@
             return Decision.REFUSE, None
         ticket.leaves_queue_at = self._latest_start(ticket)
         self._queue.append(ticket)
-        return Decision.WAIT, None
+        return Decision.WAIT, self._shed_displaced(ticket, now)
 
     def admit(self, now: float) -> list[Ticket]:
         """Start the waiting calls that have a slot and should start now."""
@@ -244,6 +244,22 @@
             starts_at += _START_DELAY
         return starts_at <= self._latest_start(ticket)
 
+    def _shed_displaced(self, ticket: Ticket, now: float) -> Ticket | None:
+        """Remove a call that a more urgent one keeps from starting in time.
+
+        This is certain only at a stated rate: otherwise a call may find a slot
+        earlier than expected.
+        """
+        if not self._rate_limiter.wait(now):
+            return None
+        for waiting in self._queue:
+            if waiting is ticket or self._can_start_in_time(waiting, now):
+                continue
+            self._queue.remove(waiting)
+            waiting.retry_after = self.expected_wait(waiting, now)
+            return waiting
+        return None
+
     def _latest_start(self, ticket: Ticket) -> float:
         """Return the latest start that lets the call end in time."""
         ends_at = ticket.expires_at
--- a/bluebellsill/target_runner.py
+++ b/bluebellsill/target_runner.py
@@ -105,6 +105,7 @@
             self.breaker,
             metrics,
             self._clock,
+            self.directives,
         )
 
     @property
@@ -132,7 +133,7 @@
             response: The response.
             sent_at: When the probe was sent, in seconds.
         """
-        self.directives.observe(response, sent_at)
+        self.directives.observe_probe(response, sent_at)
         self._slowness_meter.observe(self._dialect.slowness(response))
         self._slowness_meter.end()
 
@@ -242,6 +243,8 @@
         }
 
     def _refusal(self, call: Call, now: float) -> ErrorKind | None:
+        if call.note is not None:
+            self.directives.adopt(call.note)
         kind = self._no_target_reason(call)
         if kind is not None:
             return kind
--- a/bluebellsill/target_view.py
+++ b/bluebellsill/target_view.py
@@ -19,6 +19,7 @@
 _INITIAL_LATENCY_SECONDS = 0.01  # assumed before the first answer
 _MIN_AVOIDANCE_SECONDS = 0.1  # after the first failure
 _MAX_AVOIDANCE_SECONDS = 2.0
+_MAX_PACED_SECONDS = 0.5  # of avoiding a target for the rate that it states
 
 
 @dataclass(slots=True)
@@ -173,19 +174,33 @@
     def on_refusal(
         self,
         now: float,
+        load: int,
+        limit: int,
         *,
         is_full: bool,
         has_arrived: bool,
+        paced_seconds: float = 0,
     ) -> None:
         """Avoid the target unless it is only briefly at its limit.
 
         Args:
             now: The time in seconds.
+            load: The number of calls running or queued at the target.
+            limit: The number of calls that may run there at a time.
             is_full: Whether the call was refused for lack of capacity.
             has_arrived: Whether the target itself refused the call. The
                 node beside it tracks its load and should have refused
                 first, so a second such refusal counts as a failure.
+            paced_seconds: The expected time until a target that states its
+                rate takes another call, 0 if it states none.
         """
+        if is_full and paced_seconds and load < limit:
+            # Its slots are free; the target may end the limit at any time.
+            self.on_load_report(load, limit, now)
+            self.avoided_until = now + min(paced_seconds, _MAX_PACED_SECONDS)
+            return
+        # A full target may report a load from after its refusal.
+        self.on_load_report(max(load, limit), limit, now)
         if not is_full:
             self.on_failure(now)
         elif has_arrived:
--- a/tests/test_target_directives.py
+++ b/tests/test_target_directives.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from bluebellsill.platform.headers import LEAVING
 from demo.mesh_harness import MeshDeployment, Reply, Vm, running, wait_until
 
 _TARGETS = 3
@@ -167,15 +168,22 @@
 def test_target_that_states_that_it_leaves_gets_no_requests(
     deployment: MeshDeployment, *, probes_state_load_only: bool
 ) -> None:
-    leaving = deployment.vms[0]
-    others = deployment.vms[1:]
-    since = _state(
-        deployment,
-        [leaving],
+    leaving, told, _ = deployment.vms
+    deployment.change_target(
+        leaving,
         states_leaving=True,
         probes_state_load_only=probes_state_load_only,
     )
-    load = _Load(deployment, others)
+    wait_until(
+        lambda: (
+            LEAVING in deployment.call(told, '/shop/x').headers
+            or not probes_state_load_only
+        ),
+        'the node has passed on that the target leaves',
+    )
+    time.sleep(0.6)
+    since = time.time()
+    load = _Load(deployment, [told])
     load.run(1)
     deployment.restart_node(leaving)
     load.run(3)
