Send nothing to a target that states that it leaves

Seen: a target that stated its departure in responses, but whose reports still said ready, got 119 requests more in 2 s, also through a restarted node. Cause: only reports ended the use of a target. Change: the first response that states the departure makes the node beside the target refuse new and waiting calls and announce the departure; later reports of the same start do not undo it. Entry nodes keep it in their notes, so that a restarted node hears of it with the calls of the nodes that were told.

--- a/bluebellsill/dispatch.py
+++ b/bluebellsill/dispatch.py
@@ -314,6 +314,8 @@
         self, view: TargetView, note: TargetNote | None, now: float
     ) -> None:
         self._router.notes.record(view.id, note)
+        if note is not None and note.is_leaving:
+            view.on_leaving(now)
 
     def _end_attempt(self) -> TargetView | None:
         view = self._view
--- a/bluebellsill/platform/target_dialect.py
+++ b/bluebellsill/platform/target_dialect.py
@@ -38,7 +38,7 @@
 _LOAD_FIELDS = 4  # running, queued, slots, slowness
 _SLOTS_INDEX = 2  # in the load header
 _SLOWNESS_INDEX = 3  # in the load header
-_IS_LEAVING = '1'
+_LEAVING_VALUE = '1'
 _NO_LOAD = [0 for _ in range(_LOAD_FIELDS)]
 
 
@@ -80,7 +80,8 @@
         is_number = cold_ms.isdecimal()
         return TargetHealth(
             response.header(TARGET_NAME),
-            is_serving=response.status == HTTPStatus.OK,
+            is_serving=response.status == HTTPStatus.OK
+            and not _is_leaving(response),
             cold_seconds=int(cold_ms) / _MS_PER_SECOND if is_number else None,
             slots=_load(response)[_SLOTS_INDEX],
         )
@@ -93,7 +94,7 @@
     def directive(self, response: Response) -> TargetDirective | None:
         """Return what the target asks for, None if it cannot be read."""
         text = response.header(RATE_LIMIT)
-        is_leaving = response.header(LEAVING) == _IS_LEAVING
+        is_leaving = _is_leaving(response)
         if not text:
             return (
                 TargetDirective(is_leaving=True) if is_leaving else NO_DIRECTIVE
@@ -108,6 +109,10 @@
         return None
 
 
+def _is_leaving(response: Response) -> bool:
+    return response.header(LEAVING) == _LEAVING_VALUE
+
+
 def _load(response: Response) -> list[int]:
     """Return running and queued requests, slots and slowness in percent.
 
--- a/bluebellsill/target_runner.py
+++ b/bluebellsill/target_runner.py
@@ -5,6 +5,7 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
+from msgspec import structs
 from result import Err, Result
 
 from bluebellsill.admission import AdaptiveGate, Admission, Decision, Ticket
@@ -121,6 +122,8 @@
     def announce(self, announcement: Announcement) -> None:
         """Process an announcement of the target."""
         self.directives.on_announced(announcement)
+        if self.directives.current.is_leaving:
+            announcement = structs.replace(announcement, is_leaving=True)
         self.watch.announce(announcement)
         self.gate.resize(announcement.slots or self.watch.service.slots)
         if announcement.is_leaving:
@@ -370,6 +373,9 @@
 
     def _on_directive(self, directive: TargetDirective) -> None:
         self.gate.limit_rate(directive.rate_limit, self._clock.now())
+        announcement = self.announcement
+        if announcement is not None and directive.is_leaving:
+            self.announce(announcement)
         self.admit()
 
     def _release_slot(self, ticket: Ticket) -> None:
--- a/bluebellsill/target_view.py
+++ b/bluebellsill/target_view.py
@@ -206,6 +206,10 @@
         elif has_arrived:
             self.on_error_status(now)
 
+    def on_leaving(self, now: float) -> None:
+        """Avoid the target until its departure is known from its node."""
+        self.avoided_until = now + _MAX_AVOIDANCE_SECONDS
+
     def on_failure(self, now: float) -> None:
         """Avoid the target for a time that doubles with each failure."""
         seconds = min(
