Take a repeated refusal on a kept connection for no answer

Seen by other operators: a faulty target wrote an earlier refusal once more on a kept connection; callers were told 'not run' for a request that ran. Change: a request that is sent again gets a connection that has not answered it before; a response without an id, on a connection that has answered a request, fails the exchange as one that may have run. A repeated refusal of another request was already passed over.

--- a/bluebellsill/http_client.py
+++ b/bluebellsill/http_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import TYPE_CHECKING
@@ -28,6 +29,7 @@
 # Fraction of the idle timeout in the ``keep-alive`` header of a server for
 # which an idle connection is reused.
 _KEEP_ALIVE_FRACTION = 0.7
+_MAX_ANSWERED_IDS = 64  # of a connection; more than one call's attempts
 _BODYLESS = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 
 
@@ -156,7 +158,9 @@
             is_head=request.method == 'HEAD',
             request_id=request.header(id_header) if id_header else '',
         )
-        connection = None if use_new_connection else self._take_idle()
+        connection = (
+            None if use_new_connection else self._take_idle(exchange.request_id)
+        )
         if connection is None:
             connection = _ClientConnection(self)
             self._open.add(connection)
@@ -185,24 +189,35 @@
         if connection in self._idle:
             self._idle.remove(connection)
 
-    def _take_idle(self) -> _ClientConnection | None:
+    def _take_idle(self, request_id: str) -> _ClientConnection | None:
+        """Return the best idle connection for a request, if there is one.
+
+        A request that is sent again gets another connection than before, on
+        which a repeated response to its first attempt would look like the
+        response to this one.
+        """
         now = self.reactor.timers.clock.now()
-        max_idle_seconds = self.idle_limit.max_idle_seconds(now)
-        while self._idle:
-            # The most recently used connection is the least likely to have been
-            # dropped by the server or the network without notice.
-            connection = self._idle.pop()
-            idle_seconds = now - connection.idle_since
-            is_within_limit = (
-                max_idle_seconds is None or idle_seconds <= max_idle_seconds
-            )
-            if is_within_limit and idle_seconds <= connection.idle_lifetime:
-                connection.idle_seconds = idle_seconds
+        # The most recently used connection is the least likely to have been
+        # dropped by the server or the network without notice.
+        for connection in tuple(reversed(self._idle)):
+            if request_id and request_id in connection.answered_ids:
+                continue
+            self._idle.remove(connection)
+            if self._is_reusable(connection, now):
                 return connection
             connection.stream.close()
             self._open.discard(connection)
         return None
 
+    def _is_reusable(self, connection: _ClientConnection, now: float) -> bool:
+        max_idle_seconds = self.idle_limit.max_idle_seconds(now)
+        idle_seconds = now - connection.idle_since
+        connection.idle_seconds = idle_seconds
+        is_within_limit = (
+            max_idle_seconds is None or idle_seconds <= max_idle_seconds
+        )
+        return is_within_limit and idle_seconds <= connection.idle_lifetime
+
     def _on_timeout(self, exchange: Exchange, timeout: float) -> None:
         connection = exchange.connection
         is_sent = connection is not None and connection.stream.is_connected
@@ -224,6 +239,8 @@
         # that the connection survived the idle time.
         self.idle_seconds: float | None = None
         self.idle_lifetime: float = _IDLE_LIFETIME
+        # The latest requests that were answered on this connection.
+        self.answered_ids: deque[str] = deque(maxlen=_MAX_ANSWERED_IDS)
         self._got_stale_response = False
         self._pool = pool
         self._exchange: Exchange | None = None
@@ -334,6 +351,10 @@
             self._schedule_failure('response without a request')
             return
         response = self._response()
+        if self._is_of_unknown_request(exchange, response):
+            self._exchange = exchange
+            self._schedule_failure('error without an id on a used connection')
+            return
         if not self._matches(exchange, response):
             # A late response to an earlier request; the response to this one
             # is still to come.
@@ -341,6 +362,7 @@
             self._exchange = exchange
             self._clear()
             return
+        self.answered_ids.append(exchange.request_id)
         keep_alive = self._parser.should_keep_alive()
         if keep_alive and not exchange.is_head and not self._got_stale_response:
             self.idle_lifetime = _idle_lifetime(response)
@@ -350,6 +372,17 @@
             self.forget()
         exchange.finish(Ok(response))
 
+    def _is_of_unknown_request(
+        self, exchange: Exchange, response: Response
+    ) -> bool:
+        """Return whether an error may belong to an earlier request.
+
+        Without an id, it may be one that the server repeats.
+        """
+        has_id = response.header(self._pool.rules.id_header)
+        is_used = bool(self.answered_ids)
+        return bool(exchange.request_id) and is_used and not has_id
+
     def _matches(self, exchange: Exchange, response: Response) -> bool:
         if not exchange.request_id:
             return True
--- a/bluebellsill/standins/mesh_target.py
+++ b/bluebellsill/standins/mesh_target.py
@@ -241,7 +241,7 @@
         self._counts['arrivals'] += 1
         expected = job.request.header(EXPECTED_TARGET)
         if expected and expected != self._name:
-            headers = [(TARGET_NAME, self._name)]
+            headers = [(TARGET_NAME, self._name), self._id(job)]
             job.reply.send(Response(HTTPStatus.MISDIRECTED_REQUEST, headers))
             return
         if len(self._jobs) >= self._settings.slots:
