Keep calls that wait for a stated rate from being displaced by their equals

Cause: while the slowness of the target was asked for, or when a call with an earlier target latency came, the start that a waiting call was told of went to another one, and the loser stayed in the queue until its time was over. Change: at a stated rate, a call joins the queue only if nobody of its class or above loses its start by that; who loses it to a higher class is refused at once.

--- a/bluebellsill/slot_gate.py
+++ b/bluebellsill/slot_gate.py
@@ -85,7 +85,7 @@
             now: The time in seconds.
 
         Returns:
-            The decision, and the waiting call that would start too late now.
+            The decision, and no displaced call: ``expire`` returns those.
         """
         if now >= ticket.expires_at:
             return Decision.REFUSE, None
@@ -102,18 +102,20 @@
             return Decision.REFUSE, None
         ticket.leaves_queue_at = self._latest_start(ticket)
         self._queue.append(ticket)
-        return Decision.WAIT, self._shed_displaced(ticket, now)
+        beyond = self._beyond_rate(now)
+        if any(_class_rank(one) >= _class_rank(ticket) for one in beyond):
+            # Whoever waits already was told that it can start in time.
+            self._queue.remove(ticket)
+            ticket.retry_after = self._rate_limiter.wait(now, len(self._queue))
+            return Decision.REFUSE, None
+        return Decision.WAIT, None
 
     def admit(self, now: float) -> list[Ticket]:
         """Start the waiting calls that have a slot and should start now."""
         admitted: list[Ticket] = []
         if not self.slowness.is_fresh(now):
             return admitted
-        self._queue.sort(
-            key=lambda ticket: _queue_order(
-                ticket, self._service_time(ticket), now
-            ),
-        )
+        self._sort_queue(now)
         for ticket in tuple(self._queue):
             if not self._has_capacity(now):
                 break
@@ -128,8 +130,9 @@
 
         A call that will miss only its target latency stays while there are
         free slots for all waiting calls and the target's rate allows a start:
-        it is served late rather than not at all. A call that may not wait is removed as soon as the target's
-        slowness is known or there is no capacity for a start.
+        it is served late rather than not at all. A call that may not wait is
+        removed as soon as the target's slowness is known or there is no
+        capacity for a start.
         """
         is_decided = self.slowness.is_fresh(now) or not self._has_capacity(now)
         exceeds_capacity = self._rate_limiter.wait(now) > 0 or (
@@ -142,6 +145,11 @@
             or (exceeds_capacity and now > ticket.leaves_queue_at)
             or (is_decided and not ticket.may_wait)
         ]
+        expired += [
+            ticket
+            for ticket in self._beyond_rate(now)
+            if ticket not in expired
+        ]
         for ticket in expired:
             self._queue.remove(ticket)
             ticket.retry_after = self.expected_wait(ticket, now)
@@ -244,21 +252,31 @@
             starts_at += _START_DELAY
         return starts_at <= self._latest_start(ticket)
 
-    def _shed_displaced(self, ticket: Ticket, now: float) -> Ticket | None:
-        """Remove a call that a more urgent one keeps from starting in time.
+    def _beyond_rate(self, now: float) -> list[Ticket]:
+        """Return the waiting calls that the stated rate starts too late.
 
         This is certain only at a stated rate: otherwise a call may find a slot
         earlier than expected.
         """
-        if not self._rate_limiter.wait(now):
-            return None
-        for waiting in self._queue:
-            if waiting is ticket or self._can_start_in_time(waiting, now):
-                continue
-            self._queue.remove(waiting)
-            waiting.retry_after = self.expected_wait(waiting, now)
-            return waiting
-        return None
+        beyond: list[Ticket] = []
+        if self._rate_limiter.rate is None:
+            return beyond
+        self._sort_queue(now)
+        ahead = 0
+        for ticket in self._queue:
+            wait = self._rate_limiter.wait(now, ahead)
+            if wait and now + wait > ticket.leaves_queue_at:
+                beyond.append(ticket)
+            else:
+                ahead += 1
+        return beyond
+
+    def _sort_queue(self, now: float) -> None:
+        self._queue.sort(
+            key=lambda ticket: _queue_order(
+                ticket, self._service_time(ticket), now
+            ),
+        )
 
     def _latest_start(self, ticket: Ticket) -> float:
         """Return the latest start that lets the call end in time."""
@@ -317,6 +335,11 @@
     return remaining if remaining > 0 else service_time * _OVERRUN_FRACTION
 
 
+def _class_rank(ticket: Ticket) -> tuple[bool, int]:
+    """Return the sort key of a call's class; higher ones displace lower."""
+    return ticket.is_inner, ticket.priority
+
+
 def _queue_order(
     ticket: Ticket,
     service_time: float,
--- a/bluebellsill/target_runner.py
+++ b/bluebellsill/target_runner.py
@@ -177,6 +177,7 @@
             self._reactor.timers.after(wait, self._expire_queue)
             left = max(0, ticket.expires_at - now)
             self._reactor.timers.after(left, self._expire_queue)
+            self._expire_queue()
             self._schedule_admission(now)
             self._slowness_meter.start()
         return run
--- a/tests/test_rate_limiter.py
+++ b/tests/test_rate_limiter.py
@@ -95,3 +95,26 @@
         assert gate.offer(ticket, 0)[0] is Decision.WAIT
     gate.on_slowness(1, 0.26)
     assert gate.admit(0.26) == [nested]
+
+
+def test_call_that_waits_for_the_rate_is_not_displaced_by_its_equals() -> None:
+    """Displaced calls waited for most of their target latency in vain."""
+    gate = _limited_gate(2)
+    first = Ticket(1, 5, soft_deadline=1.01)
+    second = Ticket(1, 5, soft_deadline=1)
+    assert gate.offer(first, 0.3)[0] is Decision.WAIT
+    # The rate allows a start, but the target's slowness is unknown.
+    assert gate.offer(second, 0.6)[0] is Decision.REFUSE
+    assert 0.39 < second.retry_after < 0.51
+    gate.on_slowness(1, 0.601)
+    assert gate.admit(0.601) == [first]
+
+
+def test_call_that_a_higher_class_displaces_is_refused_at_once() -> None:
+    gate = _limited_gate(4)
+    waiting = [Ticket(1, 5, soft_deadline=0.6) for _ in range(2)]
+    for ticket in waiting:
+        assert gate.offer(ticket, 0)[0] is Decision.WAIT
+    urgent = Ticket(2, 5, soft_deadline=0.6)
+    assert gate.offer(urgent, 0.01)[0] is Decision.WAIT
+    assert gate.expire(0.01) == waiting[1:]
