--- a/bluebellsill/slot_gate.py
+++ b/bluebellsill/slot_gate.py
@@ -146,9 +146,7 @@
             or (is_decided and not ticket.may_wait)
         ]
         expired += [
-            ticket
-            for ticket in self._beyond_rate(now)
-            if ticket not in expired
+            ticket for ticket in self._beyond_rate(now) if ticket not in expired
         ]
         for ticket in expired:
             self._queue.remove(ticket)
