Answer every request that a planned stop cuts short

Here: requests that came in the first 2.2 s and outlast the stop were closed without an answer (6 of 12 in the test); later ones were refused, as they should be. A nested call of a request that the local target runs was refused after 2.2 s, so that the request failed after it had run. Cause: the process ended without a look at its open calls, and the refusal of new requests did not tell callers from the target. Change: open calls are answered with an unknown outcome before the process ends. Nested calls are served during a stop if their deadline is before its end, and refused at once otherwise.

--- a/bluebellsill/caller_side.py
+++ b/bluebellsill/caller_side.py
@@ -41,7 +41,7 @@
         server: The HTTP server that accepts them.
         bounds: The platform's limits, from which the retry budgets are
             computed.
-        is_draining: Whether every new request is refused.
+        is_draining: Whether every new request of a caller is refused.
     """
 
     def __init__(
@@ -98,14 +98,15 @@
         )
 
     def _on_request(self, request: Request, reply: Reply) -> None:
-        if self.is_draining:
-            # Callers send requests on open connections until the process
-            # exits, so each of them is refused.
-            self.gateway.refuse(request, reply, ErrorKind.LEAVING)
-            return
         # Callers and the local target connect to the same address. Only the
         # target makes calls for a request that it is running.
         is_target = self._runner.is_running(self._interface.parent_id(request))
+        if self.is_draining and not is_target:
+            # Callers send requests on open connections until the process
+            # exits, so each of them is refused. Nested calls are served: a
+            # running request waits for them.
+            self.gateway.refuse(request, reply, ErrorKind.LEAVING)
+            return
         caller = self._service if is_target else EXTERNAL_CALLER
         self.gateway.handle(request, reply, caller)
 
--- a/bluebellsill/gateway.py
+++ b/bluebellsill/gateway.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
@@ -31,11 +32,21 @@
 __all__ = ('Gateway',)
 
 
+@dataclass(frozen=True, slots=True)
+class _OpenCall:
+    """A call without an outcome, and the request that it serves."""
+
+    inbound: InboundRequest
+    call: OutboundCall
+
+
 class Gateway:
     """Filters callers' requests and sends them to targets.
 
     Attributes:
         in_flight: Requests that have not been answered yet.
+        ends_at: When the process ends, in seconds; a request whose deadline
+            is later is refused. None while no end is planned.
     """
 
     def __init__(
@@ -66,6 +77,7 @@
                 before it waits in the queue of one.
         """
         self.in_flight = 0
+        self.ends_at: float | None = None
         self._own_id = own_id
         self._interface = interface
         self._router_registry = router_registry
@@ -74,6 +86,7 @@
         self._metrics = metrics
         self._key_holders = key_holders
         self._avoids_queues = avoids_queues
+        self._open_calls_by_reply: dict[Reply, _OpenCall] = {}
         self._caller_retries = CallerRetryTracker()
         self._clock = links.reactor.timers.clock
         self._log = get_logger('gateway')
@@ -93,6 +106,9 @@
             run = RunStatus.UNKNOWN if inbound.key else None
             self._respond(inbound, reply, filtered.err_value, run)
             return
+        if self.ends_at is not None and inbound.deadline > self.ends_at:
+            self._respond(inbound, reply, _stopping_problem(ErrorKind.LEAVING))
+            return
         self._match_retry(inbound)
         if inbound.key and self._key_holders is not None:
             self._handle_keyed(inbound, reply, self._key_holders)
@@ -111,17 +127,28 @@
         """
         inbound = self._make_inbound(request, EXTERNAL_CALLER)
         filtered = run_filters(self._interface.filters, inbound)
-        problem = Problem(kind, 'this node is stopping')
+        problem = _stopping_problem(kind)
         if isinstance(filtered, Err):
             problem = filtered.err_value
         self._respond(inbound, reply, problem)
 
+    def fail_open_calls(self) -> None:
+        """Answer every call that has no outcome yet, as the process ends.
+
+        Each of them has been sent to a target's node, so it may have run.
+        """
+        problem = _stopping_problem(ErrorKind.OUTCOME_UNKNOWN)
+        for reply, one in tuple(self._open_calls_by_reply.items()):
+            one.call.cancel()
+            self._respond(one.inbound, reply, problem)
+
     def _handle_plain(self, inbound: InboundRequest, reply: Reply) -> None:
         call = self._make_call(
             inbound,
             lambda outcome: self._respond(inbound, reply, outcome),
         )
-        reply.on_abandoned = lambda: self._on_abandoned(inbound, call)
+        reply.on_abandoned = lambda: self._on_abandoned(inbound, reply, call)
+        self._open_calls_by_reply[reply] = _OpenCall(inbound, call)
         call.start()
 
     def _handle_keyed(
@@ -196,9 +223,10 @@
         )
 
     def _on_abandoned(
-        self, inbound: InboundRequest, call: OutboundCall
+        self, inbound: InboundRequest, reply: Reply, call: OutboundCall
     ) -> None:
         self.in_flight -= 1
+        self._open_calls_by_reply.pop(reply, None)
         self._metrics.counts['abandoned'] += 1
         self._log.info(
             'caller disconnected',
@@ -218,6 +246,7 @@
         run: RunStatus | None = None,
     ) -> None:
         self.in_flight -= 1
+        self._open_calls_by_reply.pop(reply, None)
         if isinstance(outcome, Problem):
             self._report_failure_to_run(inbound, outcome.response.status)
             self._log_problem(inbound, outcome)
@@ -259,3 +288,7 @@
 
     def _elapsed_ms(self, inbound: InboundRequest) -> int:
         return int((self._clock.now() - inbound.received_at) * 1000)
+
+
+def _stopping_problem(kind: ErrorKind) -> Problem:
+    return Problem(kind, 'this node is stopping')
--- a/bluebellsill/graceful_stop.py
+++ b/bluebellsill/graceful_stop.py
@@ -34,6 +34,7 @@
 
     Attributes:
         has_begun: Whether the shutdown was requested.
+        ends_at: When the node exits at the latest, in seconds.
     """
 
     def __init__(
@@ -42,6 +43,7 @@
         in_flight: Callable[[], int],
         on_draining: Callable[[], None],
         stop_accepting: Callable[[], None],
+        on_overdue: Callable[[], None],
         on_stopped: Callable[[], None],
     ) -> None:
         """Prepare a shutdown; ``begin`` starts it.
@@ -51,6 +53,8 @@
             in_flight: Returns the number of unanswered requests.
             on_draining: Called when new requests are to be refused.
             stop_accepting: Closes the listener for callers.
+            on_overdue: Called before the end if requests are still
+                unanswered, to answer them.
             on_stopped: Called once when the shutdown is complete.
         """
         self.has_begun = False
@@ -58,15 +62,16 @@
         self._in_flight = in_flight
         self._on_draining = on_draining
         self._stop_accepting = stop_accepting
+        self._on_overdue = on_overdue
         self._on_stopped: Callable[[], None] | None = on_stopped
-        self._ends_at: float = 0
+        self.ends_at: float = 0
         self._listener_closed_at: float | None = None
         self._log = get_logger('stop')
 
     def begin(self, grace: float) -> None:
         """Start the shutdown; the process is killed after ``grace`` seconds."""
         self.has_begun = True
-        self._ends_at = self._timers.clock.now() + grace - _KILL_MARGIN
+        self.ends_at = self._timers.clock.now() + grace - _KILL_MARGIN
         self._log.info('leaving', in_flight=self._in_flight())
         self._timers.after(min(_DRAIN_DELAY, grace / 2), self._drain)
 
@@ -76,7 +81,7 @@
 
     def _check(self) -> None:
         now = self._timers.clock.now()
-        is_late = now >= self._ends_at
+        is_late = now >= self.ends_at
         in_flight = self._in_flight()
         if in_flight and not is_late:
             return
@@ -93,5 +98,6 @@
             return
         if in_flight:
             self._log.error('drain timed out', in_flight=in_flight)
+            self._on_overdue()
         self._log.info('stopped', in_flight=in_flight)
         on_stopped()
--- a/bluebellsill/mesh_node.py
+++ b/bluebellsill/mesh_node.py
@@ -90,6 +90,7 @@
             self._in_flight,
             self._on_draining,
             self._caller_side.server.stop_accepting,
+            self._caller_side.gateway.fail_open_calls,
             self._on_stopped,
         )
 
@@ -281,6 +282,7 @@
     def _on_draining(self) -> None:
         """Refuse new and queued requests, and announce that the node leaves."""
         self._caller_side.is_draining = True
+        self._caller_side.gateway.ends_at = self._graceful_stop.ends_at
         self._acceptance.is_leaving = True
         self._runner.refuse_queue(ErrorKind.LEAVING)
         self._peers.members.update_own(state=MemberState.LEAVING)
--- a/bluebellsill/standins/mesh_target.py
+++ b/bluebellsill/standins/mesh_target.py
@@ -123,7 +123,8 @@
     """Processes each request as its query parameters specify.
 
     ``work`` is the processing time in milliseconds. ``call`` is a path on
-    the same host that the target calls first. ``crash`` ends the process.
+    the same host that the target calls first, ``before`` milliseconds after it
+    has started. ``crash`` ends the process.
     """
 
     channel = 'mesh_target'
@@ -276,7 +277,8 @@
         )
         job.reply.on_abandoned = lambda: self._abandon(job)
         if 'call' in job.options:
-            self._call(job)
+            seconds = float(job.options.get('before', 0)) / _MS_PER_SECOND
+            self.timers.after(seconds, lambda: self._call(job))
         else:
             self._work(job)
 
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -278,6 +278,90 @@
     assert not lost
 
 
+def test_request_that_outlasts_a_planned_stop_gets_a_whole_answer(
+    deployment: MeshDeployment,
+) -> None:
+    """At the end of the grace period, a request at work was cut off."""
+    vm = deployment.vms[0]
+    routes = [
+        *_ROUTES,
+        _route(
+            '/long/',
+            'pay',
+            route_type='non_idempotent',
+            timeout_ms=9000,
+            target_latency_ms=6000,
+        ),
+    ]
+    deployment.declare(routes)
+    wait_until(
+        lambda: deployment.call(vm, '/long/x', method='POST').status == 200,
+        'the route is in force',
+    )
+    replies: list[Reply] = []
+
+    def call(name: str) -> None:
+        path = '/long/x?work=8000'
+        replies.append(
+            deployment.call(
+                vm, path, method='POST', name=name, deadline_ms=9000
+            )
+        )
+
+    deployment.stop_node(vm)
+    threads = []
+    for number in range(12):
+        thread = Thread(target=call, args=(f'long-{number}',))
+        thread.start()
+        threads.append(thread)
+        time.sleep(0.4)
+    for thread in threads:
+        thread.join(10)
+    statuses = [reply.status for reply in replies]
+    assert statuses.count(0) == 0
+    assert 502 in statuses
+    assert 503 in statuses
+    assert sum(deployment.runs().get(f'long-{n}', 0) for n in range(12)) == (
+        statuses.count(502)
+    )
+
+
+def test_nested_call_of_a_running_request_is_served_during_a_planned_stop(
+    deployment: MeshDeployment,
+) -> None:
+    """A request at the target of a stopping node failed after it had run."""
+    vm = next(one for one in deployment.vms if one.service == 'pay')
+    deployment.stop_node(vm)
+    time.sleep(1.9)
+    path = '/pay/x?call=/shop/y&before=600'
+    reply = deployment.call(vm, path, method='POST', name='parent')
+    assert reply.status == 200
+    runs = [line['id'] for line in deployment.stats(vm)['log']]
+    assert 'parent' in runs
+
+
+def test_nested_call_that_would_outlast_a_planned_stop_is_refused(
+    deployment: MeshDeployment,
+) -> None:
+    """Otherwise it would be cut off when the process ends."""
+    vm = next(one for one in deployment.vms if one.service == 'pay')
+    long = _route('/long/', 'pay', timeout_ms=9000, target_latency_ms=9000)
+    deployment.declare([*_ROUTES, long])
+    wait_until(
+        lambda: deployment.call(vm, '/long/x', method='POST').status == 200,
+        'the route is in force',
+    )
+    deployment.stop_node(vm)
+    time.sleep(1.9)
+    before = sum(deployment.runs().values())
+    path = '/long/x?call=/shop/y&before=3000'
+    reply = deployment.call(
+        vm, path, method='POST', name='parent', deadline_ms=9000
+    )
+    assert reply.status == 500
+    assert sum(deployment.runs().values()) == before + 1
+
+
 def test_retry_of_a_refused_request_is_recognized(
     deployment: MeshDeployment,
 ) -> None:
