Go on waiting for a target when no retry is possible

Cause: an attempt was cut off at half of the remaining time to leave time for another one, also if the retry budget or the targets allowed none. Change: the attempt keeps all the time. At half of it, the call moves to another target if a retry is possible then, and goes on waiting otherwise. Evidence: the test of it in test_dispatch failed before (timeout 0.5 of 1 s).

--- a/bluebellsill/dispatch.py
+++ b/bluebellsill/dispatch.py
@@ -40,15 +40,18 @@
 
     Attributes:
         node_id: The node beside the target.
-        seconds: The timeout of the attempt.
+        timeout: Seconds until the attempt fails.
         may_wait: Whether the call may wait in that node's queue.
         note: What that target asked of all nodes last, None if nothing.
+        hangs_after: Seconds after which another target is tried if a retry is
+            possible then, None for never.
     """
 
     node_id: str
     timeout: float
     may_wait: bool = True
     note: TargetNote | None = None
+    hangs_after: float | None = None
 
 
 class Dispatch:
@@ -243,14 +246,7 @@
             message: A description of the failure.
             has_crashed: Whether the target crashed while it ran the call.
         """
-        self.may_have_run = True
-        self._sends += 1
-        self._crashes += has_crashed
-        view = self._end_attempt()
-        now = self._clock.now()
-        if view is not None:
-            view.on_failure(now)
-            view.latency = max(view.latency, now - self._sent_at)
+        self._record_failure(has_crashed=has_crashed)
         problem = Problem(kind, message)
         if not self._is_idempotent:
             return Problem(ErrorKind.OUTCOME_UNKNOWN, message)
@@ -260,6 +256,20 @@
             return problem
         return self._next_attempt(problem)
 
+    def on_hang(self) -> Attempt | None:
+        """Handle an attempt without a reply for a long time.
+
+        Returns:
+            An attempt that replaces it, or None to go on waiting: a target
+            that is only slow may still answer before the deadline.
+        """
+        now = self._clock.now()
+        view = self._next_target(now)
+        if view is None or not self._budget.take(was_dispatched=True):
+            return None
+        self._record_failure(has_crashed=False)
+        return self._start_attempt(view, now)
+
     def on_abandoned(self) -> None:
         """Handle a caller that has disconnected."""
         self._end_attempt()
@@ -272,15 +282,20 @@
         view = self._next_target(now)
         if view is None:
             return self._final_problem(problem)
+        return self._start_attempt(view, now)
+
+    def _start_attempt(self, view: TargetView, now: float) -> Attempt:
         self._tried.append(view.id)
         self._view = view
         self._sent_at = now
         view.call_start_times.append(now)
+        left = self._deadline - now
         return Attempt(
             view.id,
-            self._attempt_timeout(view, left),
+            left,
             self._may_wait,
             self._router.notes.of(view.id),
+            self._hangs_after(view, left),
         )
 
     def _next_target(self, now: float) -> TargetView | None:
@@ -306,12 +321,11 @@
         )
         return self._router.views_by_id.get(shortest)
 
-    def _attempt_timeout(self, view: TargetView, left: float) -> float:
-        """Return the timeout of an attempt in seconds.
+    def _hangs_after(self, view: TargetView, left: float) -> float | None:
+        """Return the seconds until an attempt counts as hung, None for never.
 
-        Half of the remaining time is kept for another attempt in case
-        this one hangs, unless the target's average latency is too long
-        for that.
+        Half of the remaining time is kept for another attempt, unless the
+        target's average latency is too long for that.
         """
         is_last = (
             not self._is_idempotent
@@ -320,7 +334,18 @@
         )
         is_known = view.latency_at > 0
         hang_after = _HANG_LATENCY_FACTOR * view.latency if is_known else left
-        return left if is_last or hang_after > left / 2 else left / 2
+        return None if is_last or hang_after > left / 2 else left / 2
+
+    def _record_failure(self, *, has_crashed: bool) -> None:
+        """End an attempt after which the target may have run the call."""
+        self.may_have_run = True
+        self._sends += 1
+        self._crashes += has_crashed
+        view = self._end_attempt()
+        now = self._clock.now()
+        if view is not None:
+            view.on_failure(now)
+            view.latency = max(view.latency, now - self._sent_at)
 
     def _record_note(
         self, view: TargetView, note: TargetNote | None, now: float
--- a/bluebellsill/outbound_call.py
+++ b/bluebellsill/outbound_call.py
@@ -69,7 +69,7 @@
         self._own_id = own_id
         self._on_done: Callable[[Response | Problem], None] | None = on_done
         self._headers = headers
-        self._timer: Timer | None = None
+        self._timers: list[Timer] = []
         self._local_run: Run | None = None
         self._request_id = 0
         self.node_id = ''
@@ -97,10 +97,12 @@
         call = self._make_call(decision)
         self._request_id = call.id
         self.node_id = decision.node_id
-        self._timer = self._links.reactor.timers.after(
-            decision.timeout + _REPLY_MARGIN,
-            self._on_timeout,
-        )
+        after = self._links.reactor.timers.after
+        self._timers = [
+            after(decision.timeout + _REPLY_MARGIN, self._on_timeout)
+        ]
+        if decision.hangs_after is not None:
+            self._timers.append(after(decision.hangs_after, self._on_hang))
         request_id = call.id
 
         def on_reply(reply: NodeReply) -> None:
@@ -199,14 +201,26 @@
             return
         self._finish(Response(answer.status, answer.headers, answer.body))
 
+    def _on_hang(self) -> None:
+        retry = self.dispatch.on_hang()
+        self._log.info(
+            'attempt hangs',
+            correlation=self._inbound.correlation,
+            node=self.node_id,
+            is_retried=retry is not None,
+        )
+        if retry is not None:
+            self._end_attempt(is_cancelled=True)
+            self._apply(retry)
+
     def _on_timeout(self) -> None:
         self._end_attempt(is_cancelled=self._inbound.is_idempotent)
         message = f'no reply from {self.node_id} within the time budget'
         self._apply(self.dispatch.on_failure(ErrorKind.TIMED_OUT, message))
 
     def _end_attempt(self, *, is_cancelled: bool) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
+        for timer in self._timers:
+            timer.cancel()
         request_id = self._request_id
         self._request_id = 0
         run = self._local_run
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -15,7 +15,7 @@
 from bluebellsill.membership import MemberState
 from bluebellsill.messages import TargetNote
 from bluebellsill.quarantine import MAX_CRASHES
-from bluebellsill.retries import RetryBudget
+from bluebellsill.retries import BudgetRules, RetryBudget
 from bluebellsill.routing import Router
 
 _REFUSALS = [ErrorKind.OVERLOADED, ErrorKind.ZONE_OUT, ErrorKind.LEAVING]
@@ -164,24 +164,49 @@
     assert decision.response.run is RunStatus.UNKNOWN
 
 
-def test_attempt_leaves_half_of_the_time_for_another() -> None:
-    clock = ManualClock(1)
+def _start_at_known_targets(
+    clock: ManualClock, latency: float, budget: RetryBudget
+) -> tuple[Dispatch, Attempt]:
     router = _router()
     for view in router.views_by_id.values():
-        view.on_latency(0.01, 1)
-    attempt = _dispatch(clock, is_idempotent=True, router=router).start()
+        view.on_latency(latency, clock.now())
+    dispatch = _dispatch(
+        clock, is_idempotent=True, router=router, budget=budget
+    )
+    attempt = dispatch.start()
     assert isinstance(attempt, Attempt)
-    assert attempt.timeout == 0.5
+    return dispatch, attempt
 
 
-def test_attempt_at_a_usually_slow_target_gets_all_the_time() -> None:
+def test_attempt_that_hangs_leaves_half_of_the_time_for_another() -> None:
     clock = ManualClock(1)
-    router = _router()
-    for view in router.views_by_id.values():
-        view.on_latency(0.9, 1)
-    attempt = _dispatch(clock, is_idempotent=True, router=router).start()
-    assert isinstance(attempt, Attempt)
+    dispatch, attempt = _start_at_known_targets(clock, 0.01, RetryBudget())
+    assert attempt.hangs_after == 0.5
+    clock.advance(0.5)
+    retry = dispatch.on_hang()
+    assert retry is not None
+    assert retry.node_id != attempt.node_id
+    assert retry.timeout == 0.5
+
+
+def test_attempt_that_cannot_be_retried_is_not_cut_off_before_its_deadline() -> (
+    None
+):
+    """A call that its target was running failed at half of its time."""
+    clock = ManualClock(1)
+    rules = BudgetRules(deposit=0, initial=0)
+    dispatch, attempt = _start_at_known_targets(clock, 0.01, RetryBudget(rules))
+    assert attempt.timeout == 1
+    clock.advance(0.5)
+    assert dispatch.on_hang() is None
+    assert not dispatch.may_have_run
+    assert dispatch.on_answer(200, 1, 6) is None
+
+
+def test_attempt_at_a_usually_slow_target_gets_all_the_time() -> None:
+    _, attempt = _start_at_known_targets(ManualClock(1), 0.9, RetryBudget())
     assert attempt.timeout == 1
+    assert attempt.hangs_after is None
 
 
 def test_error_status_is_retried_at_another_target() -> None:
