Tell the starts of a target apart in the notes of entry nodes

Cause: a note from a node that had only probed its target has no real start id. After a second restart of that node it was ignored, so the rate or the departure could be forgotten. The other way round, a departure that an earlier start had stated held for the next start with the same name, which then got nothing. Change: such a note holds for the target of that name; what was adopted before the first report ends if that report shows another start.

--- a/bluebellsill/announcement.py
+++ b/bluebellsill/announcement.py
@@ -5,7 +5,12 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
-__all__ = ('Announcement', 'must_publish', 'replaces_provisional')
+__all__ = (
+    'Announcement',
+    'must_publish',
+    'provisional_start_id',
+    'replaces_provisional',
+)
 
 
 class Announcement(Struct, frozen=True, forbid_unknown_fields=True):
@@ -33,6 +38,14 @@
     is_provisional: bool = False
 
 
+def provisional_start_id(name: str) -> str:
+    """Return the start id of a target that was found by a probe.
+
+    A probe shows the name of a target, but not which start of it.
+    """
+    return f'probed/{name}'
+
+
 def must_publish(
     known: Announcement | None, announcement: Announcement
 ) -> bool:
--- a/bluebellsill/target_directives.py
+++ b/bluebellsill/target_directives.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from bluebellsill.announcement import replaces_provisional
+from bluebellsill.announcement import provisional_start_id, replaces_provisional
 from bluebellsill.logs import get_logger
 from bluebellsill.messages import TargetNote
 from bluebellsill.target_dialect import NO_DIRECTIVE, TargetDirective
@@ -56,6 +56,7 @@
         self._confirmed_at: float = 0
         self._has_observed = False
         self._has_probe_stated = False
+        self._adopted_start_id = ''
         self._log = get_logger('target')
 
     @property
@@ -70,11 +71,15 @@
         self._announcement = announcement
         is_same_start = known is not None and (
             known.start_id == announcement.start_id
-            or replaces_provisional(known, announcement)
+            or (
+                replaces_provisional(known, announcement)
+                and self._adopted_start_id in {'', announcement.start_id}
+            )
         )
         if not is_same_start:
             self._has_observed = False
             self._has_probe_stated = False
+            self._adopted_start_id = ''
             self._change(NO_DIRECTIVE, _NEW_START)
 
     def observe(self, response: Response, sent_at: float) -> None:
@@ -118,6 +123,8 @@
         """
         if not self._is_about_current_start(note):
             return
+        if note.start_id != provisional_start_id(note.target):
+            self._adopted_start_id = note.start_id
         rate = self.current.rate_limit
         if note.rate_limit is not None and not self._has_observed:
             rate = min(
@@ -141,10 +148,13 @@
         announcement = self._announcement
         if announcement is None:
             return False
-        # A probe shows the name of a target, but not which start of it.
-        is_same_name = (
-            announcement.is_provisional and note.target == announcement.name
+        # This node or the one that stated it to the entry node knows only the
+        # name of the target.
+        is_start_unknown = (
+            announcement.is_provisional
+            or note.start_id == provisional_start_id(note.target)
         )
+        is_same_name = is_start_unknown and note.target == announcement.name
         return is_same_name or note.start_id == announcement.start_id
 
     def _is_relaxed(self, directive: TargetDirective) -> bool:
--- a/bluebellsill/target_watch.py
+++ b/bluebellsill/target_watch.py
@@ -11,6 +11,7 @@
 from bluebellsill.announcement import (
     Announcement,
     must_publish,
+    provisional_start_id,
     replaces_provisional,
 )
 from bluebellsill.connection_losses import Loss, Losses
@@ -272,7 +273,7 @@
             replace(
                 expected,
                 name=health.name,
-                start_id=f'probed/{health.name}',
+                start_id=provisional_start_id(health.name),
                 slots=health.slots,
                 cold_seconds=health.cold_seconds,
                 is_provisional=True,
