Try a target that takes nothing once in four seconds

Cause: at a stated rate of 0, or near it, a target got no request at all, also after the limit had ended if its probes do not state it: it stays unused. Measured: make check and the tests of rates and directives pass.

--- a/bluebellsill/rate_limiter.py
+++ b/bluebellsill/rate_limiter.py
@@ -7,6 +7,9 @@
 # Seconds of the stated rate that may be saved up while few calls arrive.
 _BURST_PERIOD = 1.0
 _MIN_CAPACITY = 1.0  # starts; with less, a low rate would allow none
+# Starts a second that are tried at least: a target states the end of its limit
+# in a response, which it cannot do without a request.
+_MIN_RATE = 0.25
 _TOLERANCE = 1e-6  # starts; below rounding errors of the clock
 _MAX_WAIT = 30.0  # seconds; also stands for the wait at a rate of 0
 
@@ -31,9 +34,12 @@
         those before a restart of this node.
 
         Args:
-            rate: The starts a second, None for no limit.
+            rate: The starts a second, None for no limit. A lower rate than
+                one in four seconds counts as that.
             now: The time in seconds.
         """
+        if rate is not None:
+            rate = max(_MIN_RATE, rate)
         if rate == self.rate:
             return
         self._refill(now)
