Compress the routing documents that nodes send to each other

Cause: the document went from node to node as it is. Each node gets it from one that has it, over links of down to 5 Mbit/s, and sends it to several others.

--- a/bluebellsill/messages.py
+++ b/bluebellsill/messages.py
@@ -260,10 +260,17 @@
 
 
 class RevisionRequest(WireMessage, frozen=True, tag=12):
-    """Requests the configuration changes after a revision."""
+    """Requests the configuration changes after a revision.
+
+    Attributes:
+        id: Identifies the request on its connection.
+        after: The revision that the sender has.
+        accepts_compressed: Whether the sender can read a compressed snapshot.
+    """
 
     id: int
     after: int
+    accepts_compressed: bool = False
 
 
 class Revisions(WireMessage, frozen=True, tag=13):
@@ -273,11 +280,13 @@
         id: The id of the request.
         snapshot: An encoded snapshot, or empty.
         changes: Encoded changes in the order of their revisions.
+        is_compressed: Whether the snapshot is compressed.
     """
 
     id: int
     snapshot: bytes
     changes: list[bytes]
+    is_compressed: bool = False
 
 
 class ZoneReportRequest(WireMessage, frozen=True, tag=14):
--- a/bluebellsill/operator_state.py
+++ b/bluebellsill/operator_state.py
@@ -141,6 +141,7 @@
             before=previous.revision,
             version=self.plan.version if self.plan else None,
             zones_out=list(snapshot.zones_out),
+            document_bytes=len(snapshot.document),
             source=source,
         )
         for listener in self._listeners:
--- a/bluebellsill/revision_replication.py
+++ b/bluebellsill/revision_replication.py
@@ -7,6 +7,10 @@
 from bluebellsill.logs import get_logger
 from bluebellsill.messages import RevisionRequest, Revisions
 from bluebellsill.peers import LinkLost, PeerConnection, PeerLinks
+from bluebellsill.snapshot_compression import (
+    SnapshotCompressor,
+    decompress_snapshot,
+)
 
 __all__ = ('Replica', 'RevisionReplicator')
 
@@ -34,6 +38,7 @@
 
 
 _FETCH_TIMEOUT = 0.25  # seconds until another peer is asked as well
+_MIN_COMPRESSED = 4096  # bytes; a shorter snapshot takes a few packets anyway
 
 
 class RevisionReplicator:
@@ -49,6 +54,7 @@
         self._links = links
         self._fetch_id = 0
         self._requested_at: float | None = None
+        self._compressor = SnapshotCompressor()
         self._log = get_logger('revisions')
 
     def on_peer_revision(self, peer: str, revision: int) -> None:
@@ -61,7 +67,9 @@
             return
         self._requested_at = now
         self._fetch_id = self._links.next_id()
-        request = RevisionRequest(self._fetch_id, self._replica.revision)
+        request = RevisionRequest(
+            self._fetch_id, self._replica.revision, accepts_compressed=True
+        )
         self._links.request(
             peer,
             request,
@@ -75,7 +83,13 @@
     ) -> None:
         """Send a peer the revisions after the one it has."""
         snapshot, changes = self._replica.export(request.after)
-        connection.send(Revisions(request.id, snapshot, changes))
+        is_compressed = (
+            request.accepts_compressed and len(snapshot) >= _MIN_COMPRESSED
+        )
+        if is_compressed:
+            revision = self._replica.revision
+            snapshot = self._compressor.compress(revision, snapshot)
+        connection.send(Revisions(request.id, snapshot, changes, is_compressed))
 
     def _on_reply(
         self,
@@ -90,8 +104,11 @@
                 'fetch of revisions failed', peer=peer, reason=reply.reason
             )
             return
+        snapshot = reply.snapshot
         try:
-            self._replica.merge(reply.snapshot, reply.changes, peer)
+            if reply.is_compressed:
+                snapshot = decompress_snapshot(snapshot)
+            self._replica.merge(snapshot, reply.changes, peer)
         except ValueError as error:
             self._log.error(
                 'invalid revisions ignored', peer=peer, reason=str(error)
