Let targets state rates and departures in the randomized runs

Cause: the randomized runs had neither, and none of the checks counted requests by what a node had passed on. Change: targets state 0, 1 or 4 requests a second, or that they leave, while their nodes are killed, frozen, cut off and restarted; the checks count requests of the nodes that had passed on such an answer and kept their state since.

--- a/bluebellsill/standins/mesh_target.py
+++ b/bluebellsill/standins/mesh_target.py
@@ -94,8 +94,8 @@
         is_silent: Whether no reports are sent.
         rate_limit: The requests a second that responses state as the limit,
             None for no limit; requests beyond it are answered as well.
-        states_leaving: Whether responses state that the target is leaving,
-            while its reports do not.
+        states_leaving: Whether responses state that the target is leaving
+            before its reports do.
         probes_state_load_only: Whether responses to probes lack the two
             statements above.
     """
@@ -148,6 +148,7 @@
         self._is_leaving = False
         self._left_at: float = 0
         self._cold_since: float = 0
+        self._limited_since: float = 0
         self._jobs: set[_Job] = set()
         self._waiting: deque[_Job] = deque()
         self._counts: Counter[str] = Counter()
@@ -214,6 +215,8 @@
         elif path == _BEHAVIOUR_PATH:
             self._behaviour = json.decode(request.body, type=MeshBehaviour)
             self._cold_since = time() if self._behaviour.cold_seconds else 0
+            is_limited = self._behaviour.rate_limit is not None
+            self._limited_since = time() if is_limited else 0
             reply.send(json_response(HTTPStatus.OK, {}))
         elif path == _HEALTH_PATH:
             self._answer_probe(reply)
@@ -298,6 +301,9 @@
                 # Seconds since the node accepted the draining report.
                 'left_s': now - self._left_at if self._left_at else 0,
                 'cold_s': now - self._cold_since if self._cold_since else 0,
+                # When the stated rate limit was set, 0 without one.
+                'limited_since': self._limited_since,
+                'rate_limit': self._behaviour.rate_limit,
             },
         )
         with Path(settings.ledger).open('ab') as ledger:
@@ -361,7 +367,7 @@
         headers = []
         if behaviour.rate_limit is not None:
             headers.append((RATE_LIMIT, str(behaviour.rate_limit)))
-        if behaviour.states_leaving:
+        if behaviour.states_leaving or self._is_leaving:
             headers.append((LEAVING, '1'))
         return headers
 
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -5,11 +5,18 @@
 import http.client
 import time
 from dataclasses import dataclass
+from http.client import HTTPMessage
 from random import Random
 from threading import Event, Thread
 from typing import TYPE_CHECKING
 
-from bluebellsill.platform.headers import DEADLINE, REQUEST_ID
+from bluebellsill.platform.headers import (
+    DEADLINE,
+    LEAVING,
+    RATE_LIMIT,
+    REQUEST_ID,
+    STAMP,
+)
 from demo.mesh_harness import HOST
 
 if TYPE_CHECKING:
@@ -23,7 +30,13 @@
 
 @dataclass(frozen=True)
 class CallRecord:
-    """One call and its response; status 0 without a response."""
+    """One call and its response; status 0 without a response.
+
+    Attributes:
+        by: The target that responded, empty for the node's own responses.
+        states_rate: Whether the target stated a rate limit.
+        states_leaving: Whether the target stated that it leaves.
+    """
 
     name: str
     vm: str
@@ -32,6 +45,9 @@
     body: bytes
     sent_at: float
     ended_at: float
+    by: str = ''
+    states_rate: bool = False
+    states_leaving: bool = False
 
 
 class Caller:
@@ -94,6 +110,7 @@
         }
         sent_at = time.time()
         status, body, is_reusable = 0, b'', False
+        stated = HTTPMessage()
         try:
             connection.request(
                 method, f'/{service}/x?work={work}', headers=headers
@@ -101,12 +118,22 @@
             response = connection.getresponse()
             body = response.read()
             status = response.status
+            stated = response.headers
             is_reusable = response.getheader('connection') != 'close'
         except _CONNECTION_ERRORS:
             is_reusable = False
         self.calls.append(
             CallRecord(
-                name, vm.name, method, status, body, sent_at, time.time()
+                name,
+                vm.name,
+                method,
+                status,
+                body,
+                sent_at,
+                time.time(),
+                stated.get(STAMP, ''),
+                RATE_LIMIT in stated,
+                LEAVING in stated,
             ),
         )
         return is_reusable
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -20,6 +20,10 @@
 _STABLE_PERIOD = 3.0  # seconds without faults, which the platform's bounds need
 _COLD_DETECTION = 1.0  # seconds; a node polls a busy target every half second
 _COLD_PER_SECOND = 8  # requests that cold targets declare they can take
+_RATE_WINDOW = 4.0  # seconds in which requests beyond a stated rate count
+_RATE_FACTOR = 1.5  # of the stated rate that a target may get in a window
+_RATE_SLACK = 5  # requests that it may get in addition
+_PASSED_ON = 0.5  # seconds after which a node keeps to what it has passed on
 _MARGIN = 0.3  # seconds between the start of a fault and its record
 _NOT_RUN = frozenset((408, 421, 429, 503))  # not executed, now or later
 
@@ -38,6 +42,7 @@
     ]
     run_counts = Counter(run['id'] for run in runs)
     logs = _Logs(deployment)
+    calls = list(calls)
     found: list[str] = []
     for call in calls:
         found += _wrong_response(call, run_counts[call.name])
@@ -47,6 +52,8 @@
         *_late_runs(deployment, faults, runs),
         *_drained_runs(runs),
         *_cold_runs(runs),
+        *_runs_beyond_rate(runs, _Told(calls, faults)),
+        *_runs_after_stated_departure(runs, _Told(calls, faults)),
     ]
 
 
@@ -130,3 +137,70 @@
             count = sum(at <= one < at + 1 for one in times)
             if count > _COLD_PER_SECOND:
                 yield f'{name} was cold and got {count} requests in 1 s at {at}'
+
+
+class _Told:
+    """Finds which runs came from a node that had passed on a statement.
+
+    A restart or a fault of the node since then excuses it.
+    """
+
+    def __init__(self, calls: Iterable[CallRecord], faults: Faults) -> None:
+        self._faults = faults
+        self._calls_by_name = {call.name: call for call in calls}
+        self._by_target: dict[str, list[CallRecord]] = defaultdict(list)
+        for call in self._calls_by_name.values():
+            if call.by:
+                self._by_target[call.by].append(call)
+
+    def was_told_of_rate(self, run: Run, since: float) -> bool:
+        """Return whether the node knew of a rate stated since a time."""
+        return any(
+            call.states_rate and call.ended_at > since
+            for call in self._passed_on(run, _PASSED_ON)
+        )
+
+    def was_told_of_departure(self, run: Run) -> bool:
+        """Return whether the node knew of the departure for long enough."""
+        return any(
+            call.states_leaving for call in self._passed_on(run, _DRAIN_BOUND)
+        )
+
+    def _passed_on(self, run: Run, before: float) -> Iterator[CallRecord]:
+        """Yield the calls that told the node of a run some seconds before."""
+        origin = self._calls_by_name.get(run['id'])
+        if origin is None:
+            return
+        for call in self._by_target[run['by']]:
+            if (
+                call.vm == origin.vm
+                and call.ended_at <= origin.sent_at - before
+                and self._faults.has_kept_state(
+                    call.vm, call.sent_at - _MARGIN, run['at']
+                )
+            ):
+                yield call
+
+
+def _runs_beyond_rate(runs: list[Run], told: _Told) -> Iterator[str]:
+    stated: dict[tuple[str, float, float], list[float]] = defaultdict(list)
+    for run in runs:
+        since = run['limited_since']
+        if since and run['at'] - since > _STABLE_PERIOD:
+            if told.was_told_of_rate(run, since):
+                stated[run['by'], since, run['rate_limit']].append(run['at'])
+    for (name, _, rate), times in stated.items():
+        allowed = _RATE_FACTOR * rate * _RATE_WINDOW + _RATE_SLACK
+        for at in times:
+            count = sum(at <= one < at + _RATE_WINDOW for one in times)
+            if count > allowed:
+                yield (
+                    f'{name} stated a rate of {rate} and got {count} requests'
+                    f' in {_RATE_WINDOW} s at {at}'
+                )
+
+
+def _runs_after_stated_departure(runs: list[Run], told: _Told) -> Iterator[str]:
+    for run in runs:
+        if told.was_told_of_departure(run):
+            yield f'{run["id"]} was executed after {run["by"]} stated to leave'
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -24,6 +24,8 @@
 _LONG = 3.0  # seconds; above that timeout
 _COLD = 2.5  # seconds for which a target stays cold
 _STOP_TIMEOUT = 7.0  # seconds for the graceful stop of a node or target
+_STATED = 8.0  # seconds for which a target states a rate limit
+_STATED_RATES = (0.0, 1.0, 4.0)  # requests a second
 _SKEWS = (-3600.0, -5.0, 5.0, 3600.0)  # seconds, offsets of a clock
 _STORE = 'store'
 _ALL_PATHS = ('peers', 'store', 'target')
@@ -50,12 +52,15 @@
         self.log: list[str] = []
         self.evacuations: list[tuple[str, float, float]] = []
         self.disturbances: list[Disturbance] = []
+        self.restarts: list[Disturbance] = []
         self._deployment = deployment
         self._network = network
         self._change_routes = change_routes
         self._locks = {vm.name: Lock() for vm in deployment.vms}
         self._locks[_STORE] = Lock()
         self._locks.update({zone: Lock() for zone in 'abc'})
+        # Faults of a VM's processes overlap with what its target states.
+        self._locks.update({_stated(vm): Lock() for vm in deployment.vms})
         self._kinds: list[Callable[[Random], None]] = [
             self.kill_node,
             self.pause_node,
@@ -63,6 +68,8 @@
             self.kill_target,
             self.replace_target,
             self.slow_target,
+            self.limit_target,
+            self.state_departure,
             self.disrupt_store,
             self.forget_history,
             self.forget_nodes,
@@ -90,6 +97,16 @@
             if one.subject in {vm, _STORE}
         )
 
+    def has_kept_state(
+        self, vm: str, started_at: float, ended_at: float
+    ) -> bool:
+        """Return whether a VM's node had no fault and was not restarted."""
+        return not any(
+            one.started_at < ended_at and one.ended_at > started_at
+            for one in (*self.disturbances, *self.restarts)
+            if one.subject == vm
+        )
+
     def kill_node(self, random: Random) -> None:
         """Kill a node and restart it."""
         with self._disturbed_vm(random, 'kill_node') as vm:
@@ -106,17 +123,15 @@
     def stop_node(self, random: Random) -> None:
         """Stop a node gracefully and restart it."""
         with self._locked_vm(random, 'stop_node') as vm:
-            self._stop(vm)
-            self._deployment.restart_node(vm)
+            self._restart(vm)
 
     def step_clock(self, random: Random) -> None:
         """Restart a node with a wrong clock."""
         skew = random.choice(_SKEWS)
         with self._locked_vm(random, f'step_clock {skew}') as vm:
-            self._stop(vm)
             python = str(BIN / 'python')
             vm.command = [python, '-m', 'tests.soak.skewed', str(skew)]
-            self._deployment.restart_node(vm)
+            self._restart(vm)
 
     def kill_target(self, random: Random) -> None:
         """Kill a target and restart it."""
@@ -141,6 +156,31 @@
             time.sleep(cold or _SHORT)
             self._deployment.change_target(vm)
 
+    def limit_target(self, random: Random) -> None:
+        """Let a target state a rate limit for a while."""
+        vm = random.choice(self._deployment.vms)
+        rate = random.choice(_STATED_RATES)
+        is_probed = random.choice([False, True])
+        with self._locks[_stated(vm)]:
+            self._note(f'limit_target {rate} {is_probed} {vm.name}')
+            self._deployment.change_target(
+                vm, rate_limit=rate, probes_state_load_only=is_probed
+            )
+            time.sleep(_STATED)
+            self._deployment.change_target(vm)
+
+    def state_departure(self, random: Random) -> None:
+        """Let a target state that it leaves, then replace it."""
+        with self._locked_vm(random, 'state_departure') as vm:
+            self._deployment.change_target(
+                vm, states_leaving=True, probes_state_load_only=True
+            )
+            time.sleep(_LONG)
+            if vm.target is not None:
+                vm.target.send(signal.SIGTERM)
+                vm.target.wait(_STOP_TIMEOUT)
+            self._deployment.start_target(vm)
+
     def disrupt_store(self, random: Random) -> None:
         """Make the store fail or respond late for a while."""
         behaviour: dict[str, Any] = random.choice(
@@ -220,6 +260,12 @@
         with self._disturbed_vm(random, f'silence {listener}') as vm:
             self._network.silence(vm.name, [listener])
 
+    def _restart(self, vm: Vm) -> None:
+        started_at = time.time()
+        self._stop(vm)
+        self._deployment.restart_node(vm)
+        self.restarts.append(Disturbance(vm.name, started_at, time.time()))
+
     def _stop(self, vm: Vm) -> None:
         # A newly started process has not installed its signal handlers yet.
         wait_until(
@@ -263,3 +309,8 @@
             self.disturbances.append(
                 Disturbance(subject, started_at, time.time()),
             )
+
+
+def _stated(vm: Vm) -> str:
+    """Return the name of the lock of what a VM's target states."""
+    return f'{vm.name}/stated'
