Keep a slow attempt while another target is tried

Cause: a call that hangs was cancelled before another target had served it. Change: the second call runs beside the first one; the first response that serves the request counts and the other call is cancelled. While the second one lasts, the first one tries no other target, so that a request is sent to no more targets than its route allows.

--- a/bluebellsill/dispatch.py
+++ b/bluebellsill/dispatch.py
@@ -10,6 +10,8 @@
 from bluebellsill.quarantine import MAX_CRASHES
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from bluebellsill.clock import Clock
     from bluebellsill.messages import TargetNote
     from bluebellsill.retries import RetryBudget
@@ -43,8 +45,8 @@
         timeout: Seconds until the attempt fails.
         may_wait: Whether the call may wait in that node's queue.
         note: What that target asked of all nodes last, None if nothing.
-        hangs_after: Seconds after which another target is tried if a retry is
-            possible then, None for never.
+        hangs_after: Seconds after which another target is tried besides, if a
+            retry is possible then; None for never.
     """
 
     node_id: str
@@ -73,6 +75,7 @@
         route: str = '',
         max_sends: int = _MAX_ATTEMPTS,
         avoids_queues: bool = False,
+        tried: Sequence[str] = (),
     ) -> None:
         """Prepare a call.
 
@@ -86,6 +89,7 @@
             max_sends: How many targets may receive the call.
             avoids_queues: Whether to look for a target that starts the call
                 immediately, and to queue it only if there is none.
+            tried: The nodes to which a hedged call was sent before.
         """
         self._router = router
         self._budget = budget
@@ -99,11 +103,12 @@
         self._queue_seconds_by_node: dict[str, float] = {}
         self._sends = 0
         self._retry_after: float = 0
-        self._tried: list[str] = []
+        self._tried = list(tried)
         self._paced_refusals = 0
         self._view: TargetView | None = None
         self._sent_at: float = 0
         self._crashes = 0
+        self._has_hedge = False
         self.may_have_run = False
 
     @property
@@ -114,7 +119,8 @@
     def start(self) -> Attempt | Problem:
         """Choose the first target."""
         self._budget.refill(self._clock.now())
-        self._budget.on_call()
+        if not self._tried:
+            self._budget.on_call()
         return self._next_attempt(
             Problem(ErrorKind.NO_TARGET, 'no target is ready')
         )
@@ -227,9 +233,9 @@
                 self._queue_seconds_by_node[view.id] = retry_after
         problem = Problem(kind, f'refused by {self._tried[-1]}')
         if not RESPONSES_BY_KIND[kind].is_retryable_elsewhere:
-            return self._final_problem(problem)
+            return self.final_problem(problem)
         if not self._budget.take(was_dispatched=has_arrived):
-            return self._final_problem(problem)
+            return self.final_problem(problem)
         return self._next_attempt(problem)
 
     def on_failure(
@@ -256,19 +262,51 @@
             return problem
         return self._next_attempt(problem)
 
-    def on_hang(self) -> Attempt | None:
-        """Handle an attempt without a reply for a long time.
+    def hedge(self) -> Dispatch | None:
+        """Prepare to send the call to another target while this one runs it.
+
+        Until the returned dispatch is absorbed, this one tries no target.
 
         Returns:
-            An attempt that replaces it, or None to go on waiting: a target
-            that is only slow may still answer before the deadline.
+            A dispatch to start, None if no retry is possible.
         """
-        now = self._clock.now()
-        view = self._next_target(now)
-        if view is None or not self._budget.take(was_dispatched=True):
+        if self._router.choose(self._tried, self._clock.now()) is None:
             return None
+        if not self._budget.take(was_dispatched=True):
+            return None
+        self._has_hedge = True
+        return Dispatch(
+            self._router,
+            self._budget,
+            self._clock,
+            deadline=self._deadline,
+            is_idempotent=self._is_idempotent,
+            route=self._route,
+            max_sends=self._max_sends - self._sends - 1,
+            avoids_queues=self._avoids_queues,
+            tried=self._tried,
+        )
+
+    def absorb(self, hedge: Dispatch) -> None:
+        """Take over what a hedge has done that did not serve the call."""
+        self._has_hedge = False
+        self._tried = hedge._tried  # noqa: SLF001
+        self._sends += hedge._sends  # noqa: SLF001
+        self._crashes += hedge._crashes  # noqa: SLF001
+        self.may_have_run |= hedge.may_have_run
+
+    def on_outpaced(self) -> None:
+        """Handle an attempt that the hedge has answered before."""
         self._record_failure(has_crashed=False)
-        return self._start_attempt(view, now)
+
+    def final_problem(self, problem: Problem) -> Problem:
+        """Return the problem for the caller, given all attempts so far."""
+        if self.may_have_run and problem.response.run is RunStatus.NOT_RUN:
+            # An earlier attempt may have run even though the last one did not.
+            return Problem(ErrorKind.TARGET_FAILED, problem.message)
+        if self._retry_after:
+            return replace(problem, retry_after=self._retry_after)
+        return problem
 
     def on_abandoned(self) -> None:
         """Handle a caller that has disconnected."""
@@ -278,10 +316,10 @@
         now = self._clock.now()
         left = self._deadline - now
         if self._sends >= self._max_sends or left < _MIN_ATTEMPT_SECONDS:
-            return self._final_problem(problem)
-        view = self._next_target(now)
+            return self.final_problem(problem)
+        view = None if self._has_hedge else self._next_target(now)
         if view is None:
-            return self._final_problem(problem)
+            return self.final_problem(problem)
         return self._start_attempt(view, now)
 
     def _start_attempt(self, view: TargetView, now: float) -> Attempt:
@@ -361,14 +399,6 @@
             view.call_start_times.remove(self._sent_at)
         return view
 
-    def _final_problem(self, problem: Problem) -> Problem:
-        if self.may_have_run and problem.response.run is RunStatus.NOT_RUN:
-            # An earlier attempt may have run even though the last one did not.
-            return Problem(ErrorKind.TARGET_FAILED, problem.message)
-        if self._retry_after:
-            return replace(problem, retry_after=self._retry_after)
-        return problem
-
 
 def _paced_seconds(note: TargetNote | None, retry_after: float) -> float:
     """Return the wait for a target that states its rate, 0 for others."""
--- a/bluebellsill/outbound_call.py
+++ b/bluebellsill/outbound_call.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 from bluebellsill.dispatch import Attempt, Dispatch
@@ -48,6 +49,8 @@
         own_id: str,
         headers: Headers,
         on_done: Callable[[Response | Problem], None],
+        *,
+        is_hedge: bool = False,
     ) -> None:
         """Prepare the call; ``start`` sends it.
 
@@ -60,6 +63,8 @@
             headers: The caller's headers to forward to the target.
             on_done: Called once with the response or the error; not called
                 after ``cancel``.
+            is_hedge: Whether this is a second call to another target for a
+                request whose first one hangs.
         """
         self.dispatch = dispatch
         self._log = get_logger('calls')
@@ -72,6 +77,9 @@
         self._timers: list[Timer] = []
         self._local_run: Run | None = None
         self._request_id = 0
+        self._is_hedge = is_hedge
+        self._hedge: OutboundCall | None = None
+        self._held_outcome: Response | Problem | None = None
         self.node_id = ''
 
     def start(self) -> None:
@@ -87,6 +95,7 @@
         if self._on_done is None:
             return
         self._on_done = None
+        self._cancel_hedge()
         self.dispatch.on_abandoned()
         self._end_attempt(is_cancelled=True)
 
@@ -202,16 +211,47 @@
         self._finish(Response(answer.status, answer.headers, answer.body))
 
     def _on_hang(self) -> None:
-        retry = self.dispatch.on_hang()
+        """Call another target as well; the first one may just be slow."""
+        hedge = self.dispatch.hedge()
         self._log.info(
             'attempt hangs',
             correlation=self._inbound.correlation,
             node=self.node_id,
-            is_retried=retry is not None,
+            is_hedged=hedge is not None,
         )
-        if retry is not None:
-            self._end_attempt(is_cancelled=True)
-            self._apply(retry)
+        if hedge is None:
+            return
+        self._hedge = OutboundCall(
+            self._inbound,
+            hedge,
+            self._links,
+            self._runner,
+            self._own_id,
+            self._headers,
+            lambda outcome: self._on_hedge_done(hedge, outcome),
+            is_hedge=True,
+        )
+        self._hedge.start()
+
+    def _on_hedge_done(
+        self, hedge: Dispatch, outcome: Response | Problem
+    ) -> None:
+        self._hedge = None
+        self.dispatch.absorb(hedge)
+        if _is_served(outcome):
+            if self._request_id:
+                self.dispatch.on_outpaced()
+                self._end_attempt(is_cancelled=True)
+            self._finish(outcome)
+        elif isinstance(self._held_outcome, Problem):
+            self._finish(self.dispatch.final_problem(self._held_outcome))
+        elif self._held_outcome is not None:
+            self._finish(self._held_outcome)
+
+    def _cancel_hedge(self) -> None:
+        if self._hedge is not None:
+            self._hedge.cancel()
+            self._hedge = None
 
     def _on_timeout(self) -> None:
         self._end_attempt(is_cancelled=self._inbound.is_idempotent)
@@ -235,6 +275,10 @@
         self._links.send(self.node_id, Cancel(request_id))
 
     def _finish(self, outcome: Response | Problem) -> None:
+        if self._hedge is not None and not _is_served(outcome):
+            self._held_outcome = outcome
+            return
+        self._cancel_hedge()
         on_done = self._on_done
         self._on_done = None
         if on_done is None:
@@ -249,6 +293,7 @@
         due_at = inbound.first_attempt_at + inbound.route.target_latency
         fields = {
             'correlation': inbound.correlation,
+            'is_hedge': self._is_hedge,
             'service': inbound.service_name,
             'route': inbound.route.name,
             'is_inner': inbound.caller != EXTERNAL_CALLER,
@@ -272,6 +317,14 @@
             )
 
 
+def _is_served(outcome: Response | Problem) -> bool:
+    """Return whether an outcome is better than any that may still come."""
+    return (
+        isinstance(outcome, Response)
+        and outcome.status < HTTPStatus.INTERNAL_SERVER_ERROR
+    )
+
+
 def _parse_error_kind(text: str) -> ErrorKind:
     """Parse an error kind; one of a newer version counts as internal."""
     try:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -183,8 +183,10 @@
     dispatch, attempt = _start_at_known_targets(clock, 0.01, RetryBudget())
     assert attempt.hangs_after == 0.5
     clock.advance(0.5)
-    retry = dispatch.on_hang()
-    assert retry is not None
+    hedge = dispatch.hedge()
+    assert hedge is not None
+    retry = hedge.start()
+    assert isinstance(retry, Attempt)
     assert retry.node_id != attempt.node_id
     assert retry.timeout == 0.5
 
@@ -198,11 +200,32 @@
     dispatch, attempt = _start_at_known_targets(clock, 0.01, RetryBudget(rules))
     assert attempt.timeout == 1
     clock.advance(0.5)
-    assert dispatch.on_hang() is None
+    assert dispatch.hedge() is None
     assert not dispatch.may_have_run
     assert dispatch.on_answer(200, 1, 6) is None
 
 
+def test_call_and_its_hedge_are_sent_to_no_more_targets_than_allowed() -> None:
+    clock = ManualClock(1)
+    dispatch, _ = _start_at_known_targets(clock, 0.01, RetryBudget())
+    hedge = dispatch.hedge()
+    assert hedge is not None
+    assert isinstance(hedge.start(), Attempt)
+    # The other targets are the hedge's while it lasts.
+    failed = dispatch.on_failure(ErrorKind.TARGET_FAILED, 'lost')
+    assert isinstance(failed, Problem)
+    decision = hedge.on_failure(ErrorKind.TARGET_FAILED, 'lost')
+    sends = 2
+    while isinstance(decision, Attempt):
+        sends += 1
+        decision = hedge.on_failure(ErrorKind.TARGET_FAILED, 'lost')
+    assert sends == 4
+    dispatch.absorb(hedge)
+    assert len(dispatch.tried) == 4
+    not_run = Problem(ErrorKind.OVERLOADED, 'full')
+    assert dispatch.final_problem(not_run).response.run is RunStatus.UNKNOWN
+
+
 def test_attempt_at_a_usually_slow_target_gets_all_the_time() -> None:
     _, attempt = _start_at_known_targets(ManualClock(1), 0.9, RetryBudget())
     assert attempt.timeout == 1
--- a/tests/test_entry_sessions.py
+++ b/tests/test_entry_sessions.py
@@ -19,6 +19,7 @@
 )
 from bluebellsill.resources import Kind
 from tests.node_session import NodeSession
+from tests.played import FakeReply
 
 _FIRST, _SECOND, _THIRD = '10.0.0.2:1', '10.0.0.3:1', '10.0.0.4:1'
 _SERVICE = 'bookings'
@@ -143,6 +144,62 @@
     entry.compare_with_golden('entry_deadlines.txt')
 
 
+_PATH = '/bookings/free'
+
+
+def _call_until_it_hangs(entry: NodeSession) -> tuple[str, FakeReply]:
+    """Call a target that stays connected but does not answer in time."""
+    reply = entry.call('coach', 'GET', _PATH)
+    first = entry.peer_requests[-1][0]
+    entry.advance(0.3)
+    entry.deliver(first, HeartbeatReply(0))
+    entry.advance(0.22)
+    return first, reply
+
+
+def _learn_latencies(entry: NodeSession) -> None:
+    entry.section('The usual latencies are known')
+    entry.advance(1)
+    for name in ('one', 'two', 'three'):
+        entry.call(name, 'GET', _PATH)
+    for index in range(3):
+        entry.reply(_answer(), index)
+
+
+def test_entry_hedges(entry: NodeSession) -> None:
+    _learn_latencies(entry)
+    entry.section('A slow target answers after all others have refused')
+    _call_until_it_hangs(entry)
+    entry.reply(_refusal('overloaded'))
+    entry.reply(_refusal('leaving'))
+    entry.reply(_answer('slow'), index=-3)
+
+    entry.section('Another target answers first; the slow one is cancelled')
+    _call_until_it_hangs(entry)
+    entry.reply(_answer('hedged'))
+
+    entry.section('The slow target is lost while another one runs the call')
+    entry.advance(5)
+    first, _ = _call_until_it_hangs(entry)
+    entry.close_connection(first)
+    entry.reply(_answer('hedged'))
+    entry.compare_with_golden('entry_hedges.txt')
+
+
+def test_entry_hedges_that_fail(entry: NodeSession) -> None:
+    _learn_latencies(entry)
+    entry.section('The caller disconnects: both are cancelled')
+    _, reply = _call_until_it_hangs(entry)
+    entry.disconnect_caller('coach', reply)
+
+    entry.section('Both are lost, the rest refuses: the call may have run')
+    first, _ = _call_until_it_hangs(entry)
+    entry.close_connection(first)
+    entry.close_connection(entry.peer_requests[-1][0])
+    entry.reply(_refusal('overloaded'))
+    entry.compare_with_golden('entry_hedges_that_fail.txt')
+
+
 def test_keyed_session(entry: NodeSession) -> None:
     entry.advance(20)
     pay = partial(entry.call, 'secretary', 'POST', '/bookings/pay')
