Give the revision that a draft requires a name of its own

Change: renamed in the modules and their tests; it does not leave the process. Measured: make check and the tests of the configuration pass.

--- a/bluebellsill/change_records.py
+++ b/bluebellsill/change_records.py
@@ -123,7 +123,7 @@
         kind: The kind of the resource.
         name: The name of the resource.
         spec: The declared fields, or None to delete the resource.
-        expected_revision: The revision that the resource must have, 0 if
+        required_revision: The revision that the resource must have, 0 if
             it must not exist, None for no condition.
     """
 
@@ -131,7 +131,7 @@
     kind: Kind
     name: str
     spec: dict[str, Any] | None
-    expected_revision: int | None
+    required_revision: int | None
 
 
 def _decode(payload: bytes, record_type: type[Any]) -> Any:
--- a/bluebellsill/configuration.py
+++ b/bluebellsill/configuration.py
@@ -172,14 +172,14 @@
         current = self.get(draft.kind, draft.name)
         actual = current.revision if current else 0
         if (
-            draft.expected_revision is not None
-            and draft.expected_revision != actual
+            draft.required_revision is not None
+            and draft.required_revision != actual
         ):
             return Err(
                 Problem(
                     ErrorKind.REVISION_CONFLICT,
                     f'{draft.kind.value}/{draft.name} is at revision {actual},'
-                    f' not {draft.expected_revision}',
+                    f' not {draft.required_revision}',
                 ),
             )
         if draft.spec is None and current is None:
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -79,8 +79,8 @@
         Head.decode(b'{"revision": "seven"}')
 
 
-def _draft(kind: Kind, expected_revision: int | None) -> Draft:
-    return Draft('t', kind, 'x', {}, expected_revision)
+def _draft(kind: Kind, required_revision: int | None) -> Draft:
+    return Draft('t', kind, 'x', {}, required_revision)
 
 
 def test_draft_for_another_revision_is_refused() -> None:
--- a/tests/test_configuration_writer.py
+++ b/tests/test_configuration_writer.py
@@ -37,10 +37,10 @@
         self.results: list[Result[Change, Problem]] = []
         self.store.on_race = self._write_concurrently
 
-    def write(self, token: str, expected_revision: int | None = None) -> None:
+    def write(self, token: str, required_revision: int | None = None) -> None:
         """Write a change that takes a zone out of service."""
         draft = Draft(
-            token, _ZONE, 'a', {'in_service': False}, expected_revision
+            token, _ZONE, 'a', {'in_service': False}, required_revision
         )
         self.writer.write(draft, self.results.append)
 
