Create a route for its first request

Cause: a route object was created for each rule, though few are used. Change: the table keeps the validated rules and creates routes on demand. The test of it failed before, as the table took finished routes only.

--- a/bluebellsill/platform/routing_document.py
+++ b/bluebellsill/platform/routing_document.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import Annotated
 
 from msgspec import DecodeError, Meta, Struct, json
@@ -62,6 +63,14 @@
     service: str | None = None
     weighted_services: tuple[_WeightedService, ...] = ()
 
+    def service_names(self) -> list[str]:
+        """Return the names of the services that get requests."""
+        if self.service:
+            return [self.service]
+        return [
+            entry.service for entry in self.weighted_services if entry.weight
+        ]
+
     def route_services(self) -> tuple[WeightedService, ...]:
         """Return the only service, or those with a positive weight."""
         if self.service:
@@ -129,14 +138,18 @@
         for rule in host.path_rules
     ]
     for hostname, path_prefix, path_rule in rules:
-        if not path_rule.route_services():
+        if not path_rule.service_names():
             place = f'{hostname}{path_prefix}'
             return Err(f'route {path_rule.name!r} at {place} has no service')
     return Ok(
         RoutingPlan(
             int(document.version.removeprefix(_VERSION_TAG)),
             RouteTable(
-                (host, prefix, _route(rule)) for host, prefix, rule in rules
+                (
+                    (host, prefix, partial(_route, rule))
+                    for host, prefix, rule in rules
+                ),
+                {name for *_, rule in rules for name in rule.service_names()},
             ),
             {entry.name: _service(entry) for entry in document.services},
             _limits(document.limits),
--- a/bluebellsill/readiness.py
+++ b/bluebellsill/readiness.py
@@ -40,9 +40,7 @@
             return False
         if self._clock.now() - self._started_at > _MAX_TARGET_WAIT:
             return True
-        return all(
-            self._has_target(service) for service in plan.table.services()
-        )
+        return all(self._has_target(service) for service in plan.table.services)
 
     def _has_target(self, service: str) -> bool:
         return any(
--- a/bluebellsill/route_table.py
+++ b/bluebellsill/route_table.py
@@ -2,29 +2,43 @@
 
 from __future__ import annotations
 
-from itertools import chain
-from typing import TYPE_CHECKING
+from collections.abc import Callable, Iterable
 
-if TYPE_CHECKING:
-    from collections.abc import Iterable
-
-    from bluebellsill.route import Route
+from bluebellsill.route import Route
 
 __all__ = ('RouteTable',)
 
+_RouteFactory = Callable[[], Route]
+
 
 class RouteTable:
-    """The routes of all hosts, matched by the longest path prefix."""
+    """The routes of all hosts, matched by the longest path prefix.
+
+    A document may have a thousand routes of which few are used, so each route
+    is created for its first request: to create all of them at once would hold
+    up the event loop.
+
+    Attributes:
+        services: The names of all services that routes lead to.
+    """
 
-    def __init__(self, routes: Iterable[tuple[str, str, Route]]) -> None:
+    def __init__(
+        self,
+        routes: Iterable[tuple[str, str, _RouteFactory]],
+        services: Iterable[str] = (),
+    ) -> None:
         """Create a table.
 
         Args:
-            routes: Host name, path prefix and route of each rule.
+            routes: Host name and path prefix of each rule, and a function that
+                creates its route.
+            services: The names of all services that the routes lead to.
         """
-        self._by_host: dict[str, dict[str, Route]] = {}
-        for host, prefix, route in routes:
-            self._by_host.setdefault(host.lower(), {})[prefix] = route
+        self.services = frozenset(services)
+        self._by_host: dict[str, dict[str, _RouteFactory]] = {}
+        self._created: dict[tuple[str, str], Route] = {}
+        for host, prefix, create in routes:
+            self._by_host.setdefault(host.lower(), {})[prefix] = create
 
     def __len__(self) -> int:
         """Return the number of routes."""
@@ -37,24 +51,23 @@
             host: The ``Host`` header; its port is ignored.
             target: The request target: a path and an optional query.
         """
-        by_prefix = self._by_host.get(host.partition(':')[0].lower())
+        name = host.partition(':')[0].lower()
+        by_prefix = self._by_host.get(name)
         if by_prefix is None:
             return None
         path = target.partition('?')[0]
         # Prefixes end with a slash, so only such parts of the path can match.
         end = path.rfind('/') + 1
         while end > 0:
-            route = by_prefix.get(path[:end])
-            if route is not None:
-                return route
+            prefix = path[:end]
+            if prefix in by_prefix:
+                return self._route(name, prefix)
             end = path.rfind('/', 0, end - 1) + 1
         return None
 
-    def services(self) -> set[str]:
-        """Return the names of all services that routes lead to."""
-        routes = chain.from_iterable(
-            by_prefix.values() for by_prefix in self._by_host.values()
-        )
-        return {
-            part.service for route in routes for part in route.weighted_services
-        }
+    def _route(self, host: str, prefix: str) -> Route:
+        route = self._created.get((host, prefix))
+        if route is None:
+            route = self._by_host[host][prefix]()
+            self._created[host, prefix] = route
+        return route
--- a/tests/test_route_table.py
+++ b/tests/test_route_table.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from functools import partial
 from random import Random
 
 import pytest
@@ -13,10 +14,10 @@
 
 _TABLE = RouteTable(
     [
-        ('a.example', '/', Route('root')),
-        ('a.example', '/shop/', Route('shop')),
-        ('a.example', '/shop/pay/', Route('pay')),
-        ('b.example', '/shop/', Route('other')),
+        ('a.example', '/', lambda: Route('root')),
+        ('a.example', '/shop/', lambda: Route('shop')),
+        ('a.example', '/shop/pay/', lambda: Route('pay')),
+        ('b.example', '/shop/', lambda: Route('other')),
     ]
 )
 
@@ -42,6 +43,29 @@
     assert (route and route.name) == name
 
 
+def test_route_is_created_for_its_first_request_only() -> None:
+    """A large document held up the event loop while routes were created."""
+    created: list[str] = []
+
+    def create(name: str) -> Route:
+        created.append(name)
+        return Route(name)
+
+    table = RouteTable(
+        [
+            ('a.example', f'/{name}/', partial(create, name))
+            for name in ('used', 'unused')
+        ],
+        ['shop'],
+    )
+    assert len(table) == 2
+    assert table.services == {'shop'}
+    assert not created
+    first = table.match('a.example', '/used/1')
+    assert table.match('a.example', '/used/2') is first
+    assert created == ['used']
+
+
 def test_weights_hold_over_any_consecutive_requests() -> None:
     route = Route('r', (WeightedService('a', 90), WeightedService('b', 10)))
     round_robin = WeightedRoundRobin(Random(3))
