--- a/bluebellsill/platform/routing_document.py
+++ b/bluebellsill/platform/routing_document.py
@@ -149,7 +149,7 @@
                     (host, prefix, partial(_route, rule))
                     for host, prefix, rule in rules
                 ),
-                {name for *_, rule in rules for name in rule.service_names()},
+                {name for one in rules for name in one[2].service_names()},
             ),
             {entry.name: _service(entry) for entry in document.services},
             _limits(document.limits),
