--- a/bluebellsill/dispatch.py
+++ b/bluebellsill/dispatch.py
@@ -290,9 +290,9 @@
     def absorb(self, hedge: Dispatch) -> None:
         """Take over what a hedge has done that did not serve the call."""
         self._has_hedge = False
-        self._tried = hedge._tried  # noqa: SLF001
-        self._sends += hedge._sends  # noqa: SLF001
-        self._crashes += hedge._crashes  # noqa: SLF001
+        self._tried = hedge._tried
+        self._sends += hedge._sends
+        self._crashes += hedge._crashes
         self.may_have_run |= hedge.may_have_run
 
     def on_outpaced(self) -> None:
--- a/bluebellsill/rate_limiter.py
+++ b/bluebellsill/rate_limiter.py
@@ -11,7 +11,7 @@
 # in a response, which it cannot do without a request.
 _MIN_RATE = 0.25
 _TOLERANCE = 1e-6  # starts; below rounding errors of the clock
-_MAX_WAIT = 30.0  # seconds; also stands for the wait at a rate of 0
+_MAX_WAIT = 30.0  # seconds; no caller waits as long
 
 
 class RateLimiter:
