Give the paths to the store hosts of their own in the randomized runs

Cause: the path of each VM to the store has the store's port, at the host of the paths to that VM, whose other ports are drawn at random. Change: another host for the paths to the store.

--- a/tests/soak/network.py
+++ b/tests/soak/network.py
@@ -9,8 +9,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-# Added to the last octet of a VM's loopback address.
-_PROXY_OFFSET = 120
+# Added to the last octet of a VM's loopback address. The paths to the store have
+# hosts of their own: all have its port, which a listener of a VM may have too.
+_PROXY_OFFSET = 90
+_STORE_OFFSET = 180
 _PROXIED = ('peers', 'store', 'target')
 
 
@@ -30,10 +32,11 @@
         if listener not in _PROXIED:
             return address
         if key not in self._paths:
-            own = address if listener != 'store' else self._store(vm, address)
-            host, _, port = own.rpartition(':')
-            net, _, last = host.rpartition('.')
-            outside = f'{net}.{int(last) + _PROXY_OFFSET}:{port}'
+            outside = (
+                self._store(vm, address)
+                if listener == 'store'
+                else _shifted(address, _PROXY_OFFSET)
+            )
             is_udp = listener == 'peers'
             path = self._proxy.open(outside, address, udp=is_udp)
             self._paths[key] = (path, outside)
@@ -76,9 +79,15 @@
         self._proxy.do(act)
 
     def _store(self, vm: str, address: str) -> str:
-        """Return the store's port at the loopback address of a VM."""
+        """Return the store's port at a loopback address of a VM's own."""
         peers = self._paths[vm, 'peers'][1]
         host = peers.rpartition(':')[0]
-        net, _, last = host.rpartition('.')
         port = address.rpartition(':')[2]
-        return f'{net}.{int(last) - _PROXY_OFFSET}:{port}'
+        return _shifted(f'{host}:{port}', _STORE_OFFSET - _PROXY_OFFSET)
+
+
+def _shifted(address: str, offset: int) -> str:
+    """Add to the last octet of an address."""
+    host, _, port = address.rpartition(':')
+    net, _, last = host.rpartition('.')
+    return f'{net}.{int(last) + offset}:{port}'
