Move the exchange of the HTTP client to a module of its own

Cause: http_client had 426 lines; a newcomer meets rules, outcome and request first, and then the pool and its connections. Measured: make check, and the tests of kept connections, limits and bad input pass.

--- a/bluebellsill/http_client.py
+++ b/bluebellsill/http_client.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
@@ -11,6 +10,7 @@
 from result import Err, Ok, Result
 
 from bluebellsill.http import MAX_BODY, Headers, Request, Response
+from bluebellsill.http_exchange import Exchange, HttpFailure, ResponseRules
 from bluebellsill.idle_limit import IdleLimit
 from bluebellsill.response_limit import ResponseLimit
 from bluebellsill.streams import Address, Stream
@@ -19,9 +19,8 @@
     from collections.abc import Callable
 
     from bluebellsill.reactor import Reactor
-    from bluebellsill.timers import Timer
 
-__all__ = ('ResponseRules', 'Exchange', 'HttpFailure', 'HttpPool')
+__all__ = ('HttpPool',)
 
 # Seconds; below the usual idle timeout of servers, so that the client closes
 # an idle connection before the server does.
@@ -31,81 +30,6 @@
 _KEEP_ALIVE_FRACTION = 0.7
 _MAX_ANSWERED_IDS = 64  # of a connection; more than one call's attempts
 _BODYLESS = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
-
-
-@dataclass(frozen=True, slots=True)
-class ResponseRules:
-    """Additional rules for accepting responses.
-
-    Attributes:
-        id_header: The request header that responses echo, empty for none;
-            a response with another value belongs to another request.
-        allows_body_until_close: Whether the end of the connection may mark the end
-            of a response body that has neither a length nor chunks.
-    """
-
-    id_header: str = ''
-    allows_body_until_close: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class HttpFailure:
-    """Why a request got no complete response.
-
-    Attributes:
-        reason: A description of the failure for logs and error messages.
-        is_sent: Whether the server may have received the request.
-        is_timeout: Whether the request timed out.
-    """
-
-    reason: str
-    is_sent: bool
-    is_timeout: bool = False
-
-
-class Exchange:
-    """A request in flight and the callback for its outcome."""
-
-    __slots__ = ('connection', 'is_head', 'on_done', 'request_id', 'timer')
-
-    def __init__(
-        self,
-        on_done: Callable[[Result[Response, HttpFailure]], None],
-        *,
-        is_head: bool,
-        request_id: str = '',
-    ) -> None:
-        """Create an exchange that calls ``on_done`` at most once."""
-        self.request_id = request_id
-        self.on_done: Callable[..., None] | None = on_done
-        self.connection: _ClientConnection | None = None
-        self.timer: Timer | None = None
-        self.is_head = is_head
-
-    def finish(self, outcome: Result[Response, HttpFailure]) -> None:
-        """Report the outcome; later outcomes are ignored."""
-        on_done = self.on_done
-        if self.timer is not None:
-            self.timer.cancel()
-        if on_done is not None:
-            self.on_done = None
-            on_done(outcome)
-
-    def cancel(self) -> None:
-        """Drop the request and close its connection; ``on_done`` is not called.
-
-        An HTTP/1.1 server learns of a cancelled request only this way.
-        """
-        if self.on_done is None:
-            return
-        self.on_done = None
-        if self.timer is not None:
-            self.timer.cancel()
-        if self.connection is not None:
-            self.connection.stream.close()
-            self.connection.forget()
-
-
 _NO_RULES = ResponseRules()
 
 
--- a/bluebellsill/load/generator.py
+++ b/bluebellsill/load/generator.py
@@ -16,7 +16,8 @@
 
 from bluebellsill.clock import SystemClock
 from bluebellsill.http import Request, Response
-from bluebellsill.http_client import HttpFailure, HttpPool
+from bluebellsill.http_client import HttpPool
+from bluebellsill.http_exchange import HttpFailure
 from bluebellsill.metrics import LatencyHistogram, summarize
 from bluebellsill.reactor import Reactor
 from bluebellsill.streams import Address
--- a/bluebellsill/platform/kv_store.py
+++ b/bluebellsill/platform/kv_store.py
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from bluebellsill.http_client import HttpFailure
+    from bluebellsill.http_exchange import HttpFailure
     from bluebellsill.reactor import Reactor
     from bluebellsill.streams import Address
 
--- a/bluebellsill/platform/target_dialect.py
+++ b/bluebellsill/platform/target_dialect.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from bluebellsill.errors import ErrorKind
-from bluebellsill.http_client import ResponseRules
+from bluebellsill.http_exchange import ResponseRules
 from bluebellsill.logs import get_logger
 from bluebellsill.platform.headers import (
     COLD_LEFT,
--- a/bluebellsill/runs.py
+++ b/bluebellsill/runs.py
@@ -10,7 +10,7 @@
     from collections.abc import Callable
 
     from bluebellsill.errors import ErrorKind
-    from bluebellsill.http_client import Exchange
+    from bluebellsill.http_exchange import Exchange
     from bluebellsill.messages import Answer, Call, Failure, Refusal
     from bluebellsill.resources import Service
 
--- a/bluebellsill/standins/mesh_target.py
+++ b/bluebellsill/standins/mesh_target.py
@@ -17,7 +17,8 @@
 
 from bluebellsill.clock import SystemClock
 from bluebellsill.http import Headers, Request, Response, json_response
-from bluebellsill.http_client import HttpFailure, HttpPool
+from bluebellsill.http_client import HttpPool
+from bluebellsill.http_exchange import HttpFailure
 from bluebellsill.http_server import HttpServer, Reply
 from bluebellsill.platform.endpoints import (
     REPORT_PREFIX,
--- a/bluebellsill/target_dialect.py
+++ b/bluebellsill/target_dialect.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from bluebellsill.filters import DEADLINE_HEADER
-from bluebellsill.http_client import ResponseRules
+from bluebellsill.http_exchange import ResponseRules
 
 if TYPE_CHECKING:
     from bluebellsill.announcement import Announcement
--- a/bluebellsill/target_runner.py
+++ b/bluebellsill/target_runner.py
@@ -13,7 +13,7 @@
 from bluebellsill.breaker import Breaker
 from bluebellsill.errors import ErrorKind
 from bluebellsill.http import Request, Response
-from bluebellsill.http_client import HttpFailure
+from bluebellsill.http_exchange import HttpFailure
 from bluebellsill.messages import Answer, Call, Failure, Refusal
 from bluebellsill.reply_builder import ReplyBuilder
 from bluebellsill.runs import Run, TargetOwner, make_ticket
--- a/bluebellsill/target_watch.py
+++ b/bluebellsill/target_watch.py
@@ -16,7 +16,8 @@
 )
 from bluebellsill.connection_losses import Loss, Losses
 from bluebellsill.http import Request, Response
-from bluebellsill.http_client import HttpFailure, HttpPool
+from bluebellsill.http_client import HttpPool
+from bluebellsill.http_exchange import HttpFailure
 from bluebellsill.logs import get_logger
 from bluebellsill.probing import ProbeBudget
 from bluebellsill.resources import Service
--- a/tests/test_response_limit.py
+++ b/tests/test_response_limit.py
@@ -20,7 +20,8 @@
 
 from bluebellsill.clock import SystemClock
 from bluebellsill.http import MAX_BODY, Request, Response
-from bluebellsill.http_client import HttpFailure, HttpPool, ResponseRules
+from bluebellsill.http_client import HttpPool
+from bluebellsill.http_exchange import HttpFailure, ResponseRules
 from bluebellsill.reactor import Reactor
 from bluebellsill.response_limit import MAX_RECEIVED
 from bluebellsill.streams import Address
