Log the store's epoch, and what each full read of it returned

Cause: the logs could not tell whether a node dropped what the restored store said or asked for changes after a revision that the store does not have.

--- a/bluebellsill/feed_reader.py
+++ b/bluebellsill/feed_reader.py
@@ -128,6 +128,13 @@
             self._on_failure(outcome.err_value)
             return
         snapshot = outcome.ok_value
+        self._log.info(
+            'snapshot read',
+            revision=snapshot.revision,
+            in_force=self._state.revision,
+            document_bytes=len(snapshot.document),
+            zones_out=list(snapshot.zones_out),
+        )
         self._cursor = snapshot.revision
         self._on_success()
         self._state.apply_snapshot(snapshot, _SOURCE)
--- a/bluebellsill/mesh_node.py
+++ b/bluebellsill/mesh_node.py
@@ -225,6 +225,7 @@
     def _build_gauges(self) -> None:
         self._metrics.gauges.update(
             store_calls=lambda: self._store.calls,
+            store_epoch=lambda: self._store.epoch,
             members=lambda: len(self._peers.members.live()),
             links=lambda: len(self._peers.links),
             gossip_bytes_sent=lambda: self._peers.gossip.bytes_sent,
--- a/bluebellsill/operator_state.py
+++ b/bluebellsill/operator_state.py
@@ -69,6 +69,13 @@
         """
         if snapshot.revision > self.revision:
             self._replace(snapshot, source)
+        else:
+            self._log.info(
+                'snapshot ignored',
+                revision=snapshot.revision,
+                in_force=self.revision,
+                source=source,
+            )
 
     def apply_changes(self, changes: Iterable[FeedChange], source: str) -> None:
         """Apply the changes that are newer than the revision in force.
@@ -84,6 +91,12 @@
         revision = snapshot.revision
         for change in changes:
             if change.revision <= revision:
+                self._log.info(
+                    'change ignored',
+                    revision=change.revision,
+                    in_force=revision,
+                    source=source,
+                )
                 continue
             revision = change.revision
             if isinstance(change, DocumentWritten):
--- a/bluebellsill/platform/headers.py
+++ b/bluebellsill/platform/headers.py
@@ -16,6 +16,7 @@
     'RATE_LIMIT',
     'REQUEST_ID',
     'STAMP',
+    'STORE_EPOCH',
     'TARGET_NAME',
 )
 
@@ -43,6 +44,10 @@
 # A target's signature of its response; forwarded unchanged.
 STAMP = 'bluebellsill-server-stamp'
 
+# In every response of the metadata store: how many times it has been restored
+# from a copy. Revisions of different epochs cannot be compared.
+STORE_EPOCH = 'store-era'
+
 CALLER_HEADERS = HeaderNames(
     request_id=REQUEST_ID,
     deadline=DEADLINE,
--- a/bluebellsill/platform/kv_store.py
+++ b/bluebellsill/platform/kv_store.py
@@ -13,6 +13,8 @@
 
 from bluebellsill.http import Request, Response
 from bluebellsill.http_client import HttpPool
+from bluebellsill.logs import get_logger
+from bluebellsill.platform.headers import STORE_EPOCH
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -42,6 +44,7 @@
 _WATCH_MARGIN = 1.0  # seconds added to the wait of a watch
 _MS_PER_SECOND = 1000
 _MAX_SHOWN_BYTES = 64  # of an invalid response, in the error message
+_MAX_EPOCH_DIGITS = 18  # a longer number is not an epoch
 
 RANGE_PATH = '/kv-range'
 WATCH_PATH = '/kv-watch'
@@ -163,13 +166,21 @@
 
 
 class KvStore:
-    """A client of the store; every call has a timeout."""
+    """A client of the store; every call has a timeout.
+
+    Attributes:
+        calls: The number of calls made.
+        epoch: How many times the store has been restored from a copy, as far
+            as its responses have shown.
+    """
 
     def __init__(self, reactor: Reactor, address: Address) -> None:
         """Create a client without connecting to the store."""
         self.calls = 0
+        self.epoch = 0
         self._pool = HttpPool(reactor, address)
         self._host = str(address)
+        self._log = get_logger('store')
 
     def range(
         self,
@@ -281,11 +292,27 @@
         if document is not None:
             headers.append(('content-type', 'application/json'))
             body = json.encode(document)
-        self._pool.request(
-            Request(method, path, headers, body),
-            timeout,
-            lambda done: on_done(_decode(done, answer_type)),
-        )
+
+        def on_response(done: Result[Response, HttpFailure]) -> None:
+            if isinstance(done, Ok):
+                self._note_epoch(done.ok_value)
+            on_done(_decode(done, answer_type))
+
+        request = Request(method, path, headers, body)
+        self._pool.request(request, timeout, on_response)
+
+    def _note_epoch(self, response: Response) -> None:
+        text = response.header(STORE_EPOCH)
+        if not text:
+            return
+        if not text.isdecimal() or len(text) > _MAX_EPOCH_DIGITS:
+            reason = f'{text[:_MAX_SHOWN_BYTES]!r} is not an epoch'
+            self._log.warning('store epoch ignored', reason=reason)
+            return
+        epoch = int(text)
+        if epoch != self.epoch:
+            self._log.info('store epoch changed', epoch=epoch, was=self.epoch)
+        self.epoch = epoch
 
 
 def _decode(
