Reproduce the loss of changes after a restore of the store

Change: the stand-in store makes a copy, comes back from it with a higher epoch, and repeats what operators wrote; tests with real processes.

--- a/bluebellsill/standins/kv_store.py
+++ b/bluebellsill/standins/kv_store.py
@@ -15,6 +15,7 @@
 from bluebellsill.clock import SystemClock
 from bluebellsill.http import Request, Response, json_response
 from bluebellsill.http_server import HttpServer, Reply
+from bluebellsill.platform.headers import STORE_EPOCH
 from bluebellsill.platform.kv_store import (
     KEEP_PREFIX,
     LEASE_PATH,
@@ -37,6 +38,7 @@
 _OPERATOR_KEY_PREFIX = '/_keys/'
 _BEHAVIOUR_PATH = '/_behaviour'
 _HISTORY_PATH = '/_history'
+_COPY_PATH = '/_copy'
 _LEASE_CHECK_PERIOD = 0.2  # seconds between checks for expired leases
 _MS_PER_SECOND = 1000
 
@@ -84,6 +86,22 @@
         return _document(self.key, self.item)
 
 
+@dataclass(frozen=True, slots=True)
+class _Copy:
+    """The state of the store at a revision, from which it is restored."""
+
+    items: dict[str, _Item]
+    lease_expiries: dict[int, float]
+    events: tuple[_Event, ...]
+    revision: int
+
+
+class _Rewrite(Struct, frozen=True, forbid_unknown_fields=True):
+    """When operators repeat the writes that a restore has lost."""
+
+    rewrite_ms: float = 0
+
+
 @dataclass(slots=True, eq=False)
 class _Watch:
     prefix: str
@@ -96,7 +114,9 @@
 
     Operators write with ``PUT`` and ``DELETE`` under ``/_keys/``. ``PUT
     /_behaviour`` sets the simulated faults in calls of nodes, and ``DELETE
-    /_history`` deletes the stored events.
+    /_history`` deletes the stored events. ``PUT /_copy`` makes a copy of the
+    store; ``POST /_copy`` restores the store from it and then repeats what
+    operators have written since.
     """
 
     channel = 'kv_store'
@@ -115,6 +135,9 @@
         self._events: deque[_Event] = deque(maxlen=_MAX_EVENTS)
         self._compacted_revision = 0
         self._revision = 1
+        self._epoch = 1
+        self._copy = _Copy({}, {}, (), self._revision)
+        self._operator_writes: dict[str, bytes | None] = {}  # since the copy
         self._watches: set[_Watch] = set()
         self._calls: Counter[str] = Counter()
         self._behaviour = KvBehaviour()
@@ -136,7 +159,7 @@
         if behaviour.is_silent:
             return
         if behaviour.refuses:
-            reply.send(Response(HTTPStatus.SERVICE_UNAVAILABLE))
+            self._send(reply, Response(HTTPStatus.SERVICE_UNAVAILABLE))
             return
         options = {name: found[0] for name, found in parse_qs(query).items()}
         self._timers.after(
@@ -149,8 +172,9 @@
     ) -> None:
         if path.startswith(_OPERATOR_KEY_PREFIX):
             key = unquote(path.removeprefix(_OPERATOR_KEY_PREFIX))
-            is_removed = request.method == 'DELETE'
-            self._put(key, None if is_removed else request.body, 0)
+            payload = None if request.method == 'DELETE' else request.body
+            self._operator_writes[key] = payload
+            self._put(key, payload, 0)
             document = {'revision': self._revision}
             reply.send(json_response(HTTPStatus.OK, document))
         elif path == _BEHAVIOUR_PATH:
@@ -158,6 +182,8 @@
         elif path == _HISTORY_PATH:
             self._compact()
             reply.send(json_response(HTTPStatus.OK, {}))
+        elif path == _COPY_PATH:
+            self._change_copy(request, reply)
         else:
             stats = {'calls': dict(self._calls), 'keys': sorted(self._items)}
             reply.send(json_response(HTTPStatus.OK, stats))
@@ -173,6 +199,40 @@
             self._break_watches()
         reply.send(json_response(HTTPStatus.OK, {}))
 
+    def _change_copy(self, request: Request, reply: Reply) -> None:
+        if request.method == 'PUT':
+            self._copy = _Copy(
+                self._items.copy(),
+                self._lease_expiries.copy(),
+                tuple(self._events),
+                self._revision,
+            )
+            self._operator_writes.clear()
+        else:
+            rewrite = json.decode(request.body or b'{}', type=_Rewrite)
+            self._restore(rewrite.rewrite_ms / _MS_PER_SECOND)
+        document = {'revision': self._revision, 'epoch': self._epoch}
+        reply.send(json_response(HTTPStatus.OK, document))
+
+    def _restore(self, rewrite_delay: float) -> None:
+        self._break_watches()
+        copy = self._copy
+        self._epoch += 1
+        self._items = copy.items.copy()
+        self._lease_expiries = copy.lease_expiries.copy()
+        self._events = deque(copy.events, _MAX_EVENTS)
+        self._revision = copy.revision
+        self._timers.after(rewrite_delay, self._repeat_operator_writes)
+
+    def _repeat_operator_writes(self) -> None:
+        for key, payload in self._operator_writes.items():
+            if payload is not None or key in self._items:
+                self._put(key, payload, 0)
+
+    def _send(self, reply: Reply, response: Response) -> None:
+        response.headers.append((STORE_EPOCH, str(self._epoch)))
+        reply.send(response)
+
     def _on_call(
         self,
         request: Request,
@@ -193,7 +253,7 @@
         }
         serve = serve_by_path.get(path)
         if serve is None:
-            reply.send(Response(HTTPStatus.NOT_FOUND))
+            self._send(reply, Response(HTTPStatus.NOT_FOUND))
         else:
             serve()
 
@@ -208,12 +268,12 @@
             'more_pages': False,
             'current_rev': self._revision,
         }
-        reply.send(json_response(HTTPStatus.OK, document))
+        self._send(reply, json_response(HTTPStatus.OK, document))
 
     def _watch(self, options: dict[str, str], reply: Reply) -> None:
         after = int(options['after'])
-        if after < self._compacted_revision:
-            reply.send(Response(HTTPStatus.GONE))
+        if not self._compacted_revision <= after <= self._revision:
+            self._send(reply, Response(HTTPStatus.GONE))
             return
         watch = _Watch(options.get('prefix', ''), after, reply)
         if self._send_events(watch, sends_empty=False):
@@ -233,7 +293,7 @@
         if not events and not sends_empty:
             return False
         document = {'events': events, 'current_rev': self._revision}
-        watch.reply.send(json_response(HTTPStatus.OK, document))
+        self._send(watch.reply, json_response(HTTPStatus.OK, document))
         return True
 
     def _end_watch(self, watch: _Watch) -> None:
@@ -255,7 +315,7 @@
         txn = json.decode(body, type=Txn)
         behaviour = self._behaviour
         if not behaviour.loses_writes:
-            reply.send(self._commit(txn))
+            self._send(reply, self._commit(txn))
             return
 
         def commit() -> None:
@@ -283,7 +343,7 @@
         lifetime = int(document['ttl_ms']) / _MS_PER_SECOND
         self._lease_expiries[lease] = self._timers.clock.now() + lifetime
         answer = {'lease': lease, 'ttl_ms': document['ttl_ms']}
-        reply.send(json_response(HTTPStatus.OK, answer))
+        self._send(reply, json_response(HTTPStatus.OK, answer))
 
     def _renew_lease(self, lease: int, reply: Reply) -> None:
         status = (
@@ -291,7 +351,7 @@
             if lease in self._lease_expiries
             else (HTTPStatus.NOT_FOUND)
         )
-        reply.send(json_response(status, {'ttl_ms': 0}))
+        self._send(reply, json_response(status, {'ttl_ms': 0}))
 
     def _expire_leases(self) -> None:
         now = self._timers.clock.now()
--- a/demo/mesh_harness.py
+++ b/demo/mesh_harness.py
@@ -196,6 +196,22 @@
         reply = fetch(self.store.listening, 'PUT', '/_behaviour', body)
         assert reply.status == http.client.OK, reply
 
+    def copy_store(self) -> None:
+        """Make a copy from which the store can be restored."""
+        reply = fetch(self.store.listening, 'PUT', '/_copy')
+        assert reply.status == http.client.OK, reply
+
+    def restore_store(self, rewrite_ms: float = 0) -> None:
+        """Restore the store from the copy.
+
+        Args:
+            rewrite_ms: Milliseconds until the operators have repeated what
+                they had written since the copy was made.
+        """
+        body = json.dumps({'rewrite_ms': rewrite_ms}).encode()
+        reply = fetch(self.store.listening, 'POST', '/_copy', body)
+        assert reply.status == http.client.OK, reply
+
     def drop_store_history(self) -> None:
         """Make the store drop its history and end its watches."""
         fetch(self.store.listening, 'DELETE', '/_history')
