Follow a store that was restored to a lower revision

What callers saw: a route that was added after the restore got 404, and moved routes went on being run by the former service (CONFIG, DENIED). Cause: revisions were taken to order all states of the store. Change: states are ordered by epoch, then revision; readers, gossip and fetches compare both. The routing document is ordered by the version that operators give it, so a restored copy never undoes one in force, and an invalid or older one is not passed on. A reader that is not sure that the store has its position asks without waiting. A position that is lost again at once is retried with a delay. Nodes of earlier versions read the new messages as before.

--- a/bluebellsill/configuration.py
+++ b/bluebellsill/configuration.py
@@ -19,6 +19,7 @@
     decode_snapshot,
 )
 from bluebellsill.errors import ErrorKind, Problem
+from bluebellsill.replica_version import ReplicaVersion, StorePosition
 from bluebellsill.resources import (
     AvailabilityZone,
     Kind,
@@ -117,9 +118,14 @@
         ]
         return Snapshot(self.revision, stored)
 
-    def export(self, after: int) -> tuple[bytes, list[bytes]]:
-        """Return the snapshot or changes that a node at a revision lacks."""
-        changes = self.changes_after(after)
+    @property
+    def version(self) -> ReplicaVersion:
+        """The revision in force, as nodes compare it."""
+        return ReplicaVersion(StorePosition(0, self.revision))
+
+    def export(self, after: ReplicaVersion) -> tuple[bytes, list[bytes]]:
+        """Return the snapshot or changes that a node at a version lacks."""
+        changes = self.changes_after(after.position.revision)
         if changes is None:
             return msgspec.json.encode(self.snapshot()), []
         return b'', [msgspec.json.encode(change) for change in changes]
--- a/bluebellsill/feed_reader.py
+++ b/bluebellsill/feed_reader.py
@@ -8,6 +8,7 @@
 
 from bluebellsill.logs import get_logger
 from bluebellsill.rendezvous import rank
+from bluebellsill.replica_version import NO_VERSION
 
 if TYPE_CHECKING:
     from random import Random
@@ -28,6 +29,10 @@
 # Seconds. A network partition that drops packets is detected only when a
 # watch times out, so the wait is short.
 _WATCH_WAIT = 3.0
+# Seconds. While it is unknown whether the store still has the position, a
+# watch must not wait: a store that was restored and has reached the same
+# revision again would answer only at the end.
+_UNVERIFIED_WAIT = 0
 _MIN_BACKOFF = 0.2  # seconds
 _MAX_BACKOFF = 2.0  # seconds
 _FAILURES_UNTIL_LOST = 2  # consecutive failures before another node reads
@@ -63,8 +68,12 @@
         self._members = members
         self._timers = timers
         self._random = random
-        self._cursor = 0
+        self._cursor = NO_VERSION.position
+        self._is_verified = False
         self._has_pending_read = False
+        # Whether the snapshot that replaces a lost position has been requested
+        # and no watch has succeeded since.
+        self._has_lost_position = False
         self._failures = 0
         self._was_reader = False
         self._started_at = timers.clock.now()
@@ -104,24 +113,26 @@
         is_overdue = (
             self._timers.clock.now() - self._started_at > _PEER_DATA_TIMEOUT
         )
-        is_peer_data_overdue = is_overdue and not self._state.revision
+        is_peer_data_overdue = is_overdue and not self._state.position.revision
         may_read = (
             self._may_read_alone or is_overdue or len(self._members.live()) > 1
         )
         is_reader = self.is_reader and may_read
         if is_reader != self._was_reader:
             self._was_reader = is_reader
+            self._is_verified = False
             self._log.info('reader changed', is_reader=is_reader)
         if is_reader or is_peer_data_overdue:
             self._send_read()
 
     def _send_read(self) -> None:
         self._has_pending_read = True
-        self._cursor = max(self._cursor, self._state.revision)
-        if not self._cursor:
+        self._cursor = max(self._cursor, self._state.position)
+        if not self._cursor.revision:
             self._feed.read(self._on_read_done)
             return
-        self._feed.watch(self._cursor, _WATCH_WAIT, self._on_watch_done)
+        wait = _WATCH_WAIT if self._is_verified else _UNVERIFIED_WAIT
+        self._feed.watch(self._cursor, wait, self._on_watch_done)
 
     def _on_read_done(self, outcome: Result[FeedSnapshot, FeedFailure]) -> None:
         if isinstance(outcome, Err):
@@ -130,31 +141,37 @@
         snapshot = outcome.ok_value
         self._log.info(
             'snapshot read',
-            revision=snapshot.revision,
-            in_force=self._state.revision,
+            epoch=snapshot.position.epoch,
+            revision=snapshot.position.revision,
+            in_force=self._state.position.revision,
             document_bytes=len(snapshot.document),
             zones_out=list(snapshot.zones_out),
         )
-        self._cursor = snapshot.revision
+        self._cursor = snapshot.position
         self._on_success()
         self._state.apply_snapshot(snapshot, _SOURCE)
         self._read_next()
 
     def _on_watch_done(self, outcome: Result[FeedUpdate, FeedFailure]) -> None:
         if isinstance(outcome, Err):
-            if outcome.err_value.is_history_discarded:
+            failure = outcome.err_value
+            if failure.is_position_lost and not self._has_lost_position:
+                self._has_lost_position = True
                 self._log.info(
-                    'store history discarded, reading a snapshot',
-                    after=self._cursor,
+                    'position lost, reading a snapshot',
+                    reason=failure.reason,
+                    epoch=self._cursor.epoch,
+                    revision=self._cursor.revision,
                 )
                 self._feed.read(self._on_read_done)
             else:
-                self._on_failure(outcome.err_value)
+                self._on_failure(failure)
             return
         update = outcome.ok_value
-        self._cursor = max(self._cursor, update.revision)
+        self._has_lost_position = False
+        self._cursor = max(self._cursor, update.position)
         self._on_success()
-        self._state.apply_changes(update.changes, _SOURCE)
+        self._state.apply_update(update, _SOURCE)
         self._read_next()
 
     def _read_next(self) -> None:
@@ -165,15 +182,19 @@
         if self._failures:
             self._log.info('store regained', failures=self._failures)
         self._failures = 0
+        self._is_verified = True
         self._clear_store_lost()
 
     def _on_failure(self, failure: FeedFailure) -> None:
         self._failures += 1
+        self._is_verified = False
+        self._has_lost_position = False
         self._log.warning(
             'store not read',
             reason=failure.reason,
             failures=self._failures,
-            cursor=self._cursor,
+            epoch=self._cursor.epoch,
+            revision=self._cursor.revision,
         )
         is_marked_lost = self._members.own.is_store_lost
         if self._failures >= _FAILURES_UNTIL_LOST and not is_marked_lost:
--- a/bluebellsill/gossip_messages.py
+++ b/bluebellsill/gossip_messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from bluebellsill._wire import WireMessage
+from bluebellsill.replica_version import ReplicaVersion, StorePosition
 
 __all__ = (
     'Ack',
@@ -12,6 +13,7 @@
     'PingRequest',
     'Sync',
     'SyncRequest',
+    'version_of',
 )
 
 
@@ -43,12 +45,19 @@
 
 
 class Ping(WireMessage, frozen=True, tag=32):
-    """Checks whether a member is alive; carries member updates."""
+    """Checks whether a member is alive; carries member updates.
+
+    Attributes:
+        revision: Of the sender's replica, like the following ones; see
+            ``version_of``. Nodes of earlier versions send only the revision.
+    """
 
     sequence: int
     sender: Member
     revision: int
     updates: list[Member]
+    epoch: int = 0
+    document_version: int = 0
 
 
 class Ack(WireMessage, frozen=True, tag=33):
@@ -59,6 +68,8 @@
     sender: Member
     revision: int
     updates: list[Member]
+    epoch: int = 0
+    document_version: int = 0
 
 
 class PingRequest(WireMessage, frozen=True, tag=34):
@@ -75,6 +86,8 @@
     sender: Member
     revision: int
     hashes: list[int]
+    epoch: int = 0
+    document_version: int = 0
 
 
 class Sync(WireMessage, frozen=True, tag=36):
@@ -83,6 +96,8 @@
     sender: Member
     revision: int
     members: list[Member]
+    epoch: int = 0
+    document_version: int = 0
 
 
 class Applied(WireMessage, frozen=True, tag=37):
@@ -92,3 +107,9 @@
     incarnation: int
     revision: int
     in_flight: int
+
+
+def version_of(message: Ping | Ack | SyncRequest | Sync) -> ReplicaVersion:
+    """Return the version of the replica of a message's sender."""
+    position = StorePosition(message.epoch, message.revision)
+    return ReplicaVersion(position, message.document_version)
--- a/bluebellsill/gossip_task.py
+++ b/bluebellsill/gossip_task.py
@@ -5,7 +5,14 @@
 from typing import TYPE_CHECKING, Protocol
 
 from bluebellsill.freshness import CHECK_PERIOD, Freshness
-from bluebellsill.gossip_messages import Ack, Applied
+from bluebellsill.gossip_messages import (
+    Ack,
+    Applied,
+    Ping,
+    Sync,
+    SyncRequest,
+    version_of,
+)
 from bluebellsill.logs import get_logger
 from bluebellsill.messages import Message
 from bluebellsill.revision_replication import Replica
@@ -16,6 +23,7 @@
     from collections.abc import Callable
 
     from bluebellsill.gossip import Gossip
+    from bluebellsill.replica_version import ReplicaVersion
     from bluebellsill.timers import TimerService
 
 __all__ = ('GossipTask', 'ObservableReplica')
@@ -50,13 +58,13 @@
         Args:
             swim: The failure detector.
             gossip: The socket.
-            replica: The replica whose revision is sent to other nodes.
+            replica: The replica whose version is sent to other nodes.
             rollout: Collects the reports that this node receives as a reader;
                 None in deployments without rollout status.
             timers: Call the detector periodically.
             load: Returns the number of calls in flight at the target.
         """
-        self.on_revision: Callable[[str, int], None] | None = None
+        self.on_version: Callable[[str, ReplicaVersion], None] | None = None
         self._swim = swim
         self._gossip = gossip
         self._replica = replica
@@ -99,13 +107,11 @@
                 self._rollout.on_applied(message)
             return
         if isinstance(message, Ack):
-            is_behind = message.revision > self._replica.revision
+            is_behind = self._replica.version.lacks(version_of(message))
             self._freshness.on_answer(message.sequence, is_behind=is_behind)
         self._gossip.send_all(self._swim.handle(message, self._clock.now()))
-        sender = getattr(message, 'sender', None)
-        revision = getattr(message, 'revision', 0)
-        if sender is not None and self.on_revision is not None:
-            self.on_revision(sender.id, revision)
+        if isinstance(message, Ping | Ack | Sync | SyncRequest):
+            self._on_peer_version(message.sender.id, version_of(message))
 
     def sync_with(self, addresses: list[str]) -> None:
         """Request syncs from nodes, which need not be known members."""
@@ -120,7 +126,7 @@
         applied = Applied(
             own.id,
             own.incarnation,
-            self._replica.revision,
+            self._replica.version.position.revision,
             self._load(),
         )
         members = self._swim.members.live_in_zone(own.zone)
@@ -130,6 +136,10 @@
             else:
                 self._gossip.send(reader, applied)
 
+    def _on_peer_version(self, peer: str, version: ReplicaVersion) -> None:
+        if self.on_version is not None:
+            self.on_version(peer, version)
+
     def _repeat_report(self) -> None:
         """Repeat the report, less often the larger the zone is."""
         zone = self._swim.members.own.zone
@@ -151,7 +161,12 @@
             self.push()
 
     def _on_applied(self) -> None:
-        revision = self._replica.revision
-        self._log.info('revision in force', revision=revision)
+        version = self._replica.version
+        self._log.info(
+            'version in force',
+            epoch=version.position.epoch,
+            revision=version.position.revision,
+            document=version.document,
+        )
         self.report_applied()
         self.push()
--- a/bluebellsill/mesh_node.py
+++ b/bluebellsill/mesh_node.py
@@ -19,6 +19,7 @@
 from bluebellsill.graceful_stop import GracefulStop
 from bluebellsill.http_server import HttpServer
 from bluebellsill.logs import bind_logs, flush_logs, get_logger
+from bluebellsill.lost_exclusions import LostExclusions
 from bluebellsill.membership import MemberState
 from bluebellsill.messages import CrashReport
 from bluebellsill.metrics import Metrics
@@ -141,6 +142,7 @@
         settings = self._settings
         self._state = OperatorState(decode_plan)
         self._state.subscribe(self._on_operator_change)
+        LostExclusions(self._state, self._timers)
         address = Address.parse(settings.listen.peers)
         self._peers = PeerStack(
             self._reactor,
@@ -234,7 +236,8 @@
             starts=lambda: self._metrics.counts['starts'],
             target_rate_limit=lambda: self._runner.directives.rate_limit_gauge,
             target_connections=lambda: self._runner.watch.opened_connections,
-            revision=lambda: self._state.revision,
+            revision=lambda: self._state.position.revision,
+            epoch=lambda: self._state.position.epoch,
             log_lines_dropped=flush_logs,
         )
 
--- a/bluebellsill/messages.py
+++ b/bluebellsill/messages.py
@@ -266,11 +266,15 @@
         id: Identifies the request on its connection.
         after: The revision that the sender has.
         accepts_compressed: Whether the sender can read a compressed snapshot.
+        epoch: The epoch of that revision, 0 if unknown.
+        document_version: The version of the sender's routing document.
     """
 
     id: int
     after: int
     accepts_compressed: bool = False
+    epoch: int = 0
+    document_version: int = 0
 
 
 class Revisions(WireMessage, frozen=True, tag=13):
--- a/bluebellsill/operator_feed.py
+++ b/bluebellsill/operator_feed.py
@@ -5,13 +5,13 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
-from msgspec import Struct
-
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from result import Result
 
+    from bluebellsill.replica_version import StorePosition
+
 __all__ = (
     'DocumentWritten',
     'FeedChange',
@@ -23,18 +23,19 @@
 )
 
 
-class FeedSnapshot(Struct, array_like=True, frozen=True):
-    """All declarations of the operators at a revision of the store.
+@dataclass(frozen=True, slots=True)
+class FeedSnapshot:
+    """All declarations of the operators at a position of the store.
 
     Attributes:
-        revision: The store revision, which increases with each write.
+        position: The state of the store that was read.
         document: The encoded routing document, empty if there is none.
         zones_out: The availability zones that are out of service.
     """
 
-    revision: int
+    position: StorePosition
     document: bytes
-    zones_out: tuple[str, ...]
+    zones_out: frozenset[str]
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,10 +60,10 @@
 
 @dataclass(frozen=True, slots=True)
 class FeedUpdate:
-    """The changes after a revision, and the revision to watch from next."""
+    """The changes after a position, and the position to watch from next."""
 
     changes: tuple[FeedChange, ...]
-    revision: int
+    position: StorePosition
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,12 +72,13 @@
 
     Attributes:
         reason: A human-readable description of the failure.
-        is_history_discarded: Whether the store has discarded the requested
-            changes, so that a full snapshot must be read.
+        is_position_lost: Whether the store cannot tell the changes after the
+            requested position, because it has discarded them or was restored
+            from a copy, so that a full snapshot must be read.
     """
 
     reason: str
-    is_history_discarded: bool = False
+    is_position_lost: bool = False
 
 
 class OperatorFeed(Protocol):
@@ -90,8 +92,8 @@
 
     def watch(
         self,
-        revision: int,
+        position: StorePosition,
         wait: float,
         on_done: Callable[[Result[FeedUpdate, FeedFailure]], None],
     ) -> None:
-        """Wait up to ``wait`` seconds for changes after a revision."""
+        """Wait up to ``wait`` seconds for changes after a position."""
--- a/bluebellsill/operator_state.py
+++ b/bluebellsill/operator_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -10,12 +11,14 @@
 from bluebellsill.logs import get_logger
 from bluebellsill.operator_feed import (
     DocumentWritten,
-    FeedChange,
     FeedSnapshot,
+    FeedUpdate,
 )
+from bluebellsill.replica_version import ReplicaVersion, StorePosition
+from bluebellsill.zone_exclusions import NO_EXCLUSIONS, ZoneExclusions
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable
 
     from result import Result
 
@@ -24,99 +27,178 @@
 
 __all__ = ('OperatorState',)
 
+
+class _ExportedState(msgspec.Struct, array_like=True, frozen=True):
+    """The state as nodes send it to each other.
+
+    Nodes of earlier versions know only the first three fields.
+
+    Attributes:
+        revision: The revision of the store.
+        document: The encoded routing document in force, empty without one.
+        zones_out: All zones that are out of service.
+        epoch: The epoch of the revision.
+        document_version: The version of the routing document.
+        zones_unconfirmed: The zones out of service that the present epoch
+            does not confirm.
+        zones_returned: The zones returned to service in the present epoch.
+    """
+
+    revision: int
+    document: bytes
+    zones_out: tuple[str, ...]
+    epoch: int = 0
+    document_version: int = 0
+    zones_unconfirmed: tuple[str, ...] = ()
+    zones_returned: tuple[str, ...] = ()
+
+
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(FeedSnapshot)
+_decoder = msgspec.msgpack.Decoder(_ExportedState)
+
+
+@dataclass(frozen=True, slots=True)
+class _State:
+    """What is in force, but for the decoded routing document.
+
+    Attributes:
+        position: The newest state of the store that this reflects.
+        document: The encoded routing document in force, empty without one.
+        zones: The zones that are out of service.
+    """
+
+    position: StorePosition = StorePosition(0, 0)
+    document: bytes = b''
+    zones: ZoneExclusions = NO_EXCLUSIONS
 
 
 class OperatorState:
-    """The routing plan and the zones out of service, by store revision.
+    """The routing plan and the zones out of service.
 
-    The revision never decreases. Nodes replicate the routing document in
-    its encoded form, and each node decodes it. A document that cannot be
-    decoded or has an older version leaves the plan in force unchanged.
+    The zones follow the newest known state of the store. The routing document
+    follows the version that operators give it: a store that was restored from
+    a copy has an older document until operators have repeated their writes,
+    and what was in force must not be undone meanwhile. A document that cannot
+    be decoded or is older leaves the plan in force unchanged. Nodes replicate
+    the document in its encoded form, and each node decodes it.
     """
 
     def __init__(
         self,
         decode: Callable[[bytes], Result[RoutingPlan, str]],
     ) -> None:
-        """Create an empty state at revision 0.
+        """Create an empty state.
 
         Args:
             decode: Decodes a routing document.
         """
         self.plan: RoutingPlan | None = None
         self._decode = decode
-        self._snapshot = FeedSnapshot(0, b'', ())
+        self._state = _State()
+        # The highest version that a peer has in force and this node rejected,
+        # so that it is not fetched over and over.
+        self._rejected_version = 0
         self._listeners: list[Callable[[], None]] = []
         self._log = get_logger('operators')
 
     @property
-    def revision(self) -> int:
-        """The store revision in force, 0 before the first snapshot."""
-        return self._snapshot.revision
+    def position(self) -> StorePosition:
+        """The state of the store in force; revision 0 before the first one."""
+        return self._state.position
+
+    @property
+    def version(self) -> ReplicaVersion:
+        """The position, and the version of the routing document in force."""
+        in_force = self.plan.version if self.plan else 0
+        return ReplicaVersion(
+            self.position, max(in_force, self._rejected_version)
+        )
+
+    @property
+    def unconfirmed_zones(self) -> frozenset[str]:
+        """The zones out of service that the restored store does not have."""
+        return self._state.zones.unconfirmed
 
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Register a listener that is called after each change."""
         self._listeners.append(listener)
 
     def apply_snapshot(self, snapshot: FeedSnapshot, source: str) -> None:
-        """Replace the state by a snapshot if its revision is newer.
+        """Follow a snapshot of the store if its position is newer.
 
         Args:
             snapshot: The declarations of the operators.
             source: The origin of the snapshot, for the log.
         """
-        if snapshot.revision > self.revision:
-            self._replace(snapshot, source)
-        else:
-            self._log.info(
-                'snapshot ignored',
-                revision=snapshot.revision,
-                in_force=self.revision,
-                source=source,
-            )
+        zones = ZoneExclusions(out=snapshot.zones_out)
+        received = _State(snapshot.position, snapshot.document, zones)
+        self._follow(received, source)
 
-    def apply_changes(self, changes: Iterable[FeedChange], source: str) -> None:
-        """Apply the changes that are newer than the revision in force.
+    def apply_update(self, update: FeedUpdate, source: str) -> None:
+        """Apply the changes that are newer than the position in force.
 
         Args:
-            changes: All changes after a revision that is in force or older,
+            update: All changes after a position that is in force or older,
                 ordered by revision.
             source: The origin of the changes, for the log.
         """
-        snapshot = self._snapshot
-        zones = set(snapshot.zones_out)
-        document = snapshot.document
-        revision = snapshot.revision
-        for change in changes:
-            if change.revision <= revision:
+        state = self._state
+        document = b''
+        epoch = update.position.epoch
+        zones = state.zones
+        position = state.position
+        for change in update.changes:
+            changed_at = StorePosition(epoch, change.revision)
+            if changed_at <= position:
                 self._log.info(
                     'change ignored',
+                    epoch=epoch,
                     revision=change.revision,
-                    in_force=revision,
+                    in_force=position.revision,
                     source=source,
                 )
                 continue
-            revision = change.revision
+            position = changed_at
             if isinstance(change, DocumentWritten):
                 document = change.document
             elif change.is_out:
-                zones.add(change.zone)
+                zones = zones.take_out(change.zone)
             else:
-                zones.discard(change.zone)
-        if revision > snapshot.revision:
-            zones_out = tuple(sorted(zones))
-            self._replace(FeedSnapshot(revision, document, zones_out), source)
-
-    def export(self, after: int) -> tuple[bytes, list[bytes]]:
-        """Return the snapshot for a node whose revision is older."""
-        if after >= self.revision:
+                zones = zones.bring_back(change.zone)
+        if position > state.position:
+            plan = self._plan_of(document)
+            self._replace(_State(position, document, zones), plan, source)
+
+    def drop_unconfirmed_zones(self, epoch: int) -> None:
+        """Stop to exclude zones that the restored store does not have.
+
+        Args:
+            epoch: Nothing is done if the store has been restored again since.
+        """
+        state = self._state
+        if state.position.epoch == epoch and state.zones.unconfirmed:
+            zones = state.zones.drop_unconfirmed()
+            self._replace(replace(state, zones=zones), None, 'timeout')
+
+    def export(self, after: ReplicaVersion) -> tuple[bytes, list[bytes]]:
+        """Return the state for a node that lacks some of it."""
+        if not after.lacks(self.version):
             return b'', []
-        return _encoder.encode(self._snapshot), []
+        state = self._state
+        zones = state.zones
+        exported = _ExportedState(
+            state.position.revision,
+            state.document,
+            tuple(sorted(zones.all_out)),
+            state.position.epoch,
+            self.version.document,
+            tuple(sorted(zones.unconfirmed)),
+            tuple(sorted(zones.returned)),
+        )
+        return _encoder.encode(exported), []
 
     def merge(self, snapshot: bytes, changes: list[bytes], peer: str) -> None:
-        """Apply the exported snapshot of a peer.
+        """Follow the exported state of a peer.
 
         Raises:
             ValueError: The snapshot cannot be decoded.
@@ -124,16 +206,25 @@
         if not snapshot:
             return
         try:
-            decoded = _decoder.decode(snapshot)
+            exported = _decoder.decode(snapshot)
         except msgspec.DecodeError as error:
             raise ValueError(
                 f'{peer} sent an invalid snapshot: {error}'
             ) from error
-        self.apply_snapshot(decoded, peer)
+        unconfirmed = frozenset(exported.zones_unconfirmed)
+        zones = ZoneExclusions(
+            frozenset(exported.zones_out) - unconfirmed,
+            unconfirmed,
+            frozenset(exported.zones_returned),
+        )
+        position = StorePosition(exported.epoch, exported.revision)
+        self._follow(_State(position, exported.document, zones), peer)
+        if self.version.document < exported.document_version:
+            self._rejected_version = exported.document_version
 
     def is_zone_out(self, name: str) -> bool:
         """Return whether an availability zone is out of service."""
-        return name in self._snapshot.zones_out
+        return name in self._state.zones.all_out
 
     def is_target_out(self, node_id: str) -> bool:
         """Return False, as only whole zones can be taken out of service."""
@@ -143,34 +234,72 @@
         """Return a service of the plan, or None if it is not declared."""
         return self.plan.services_by_name.get(name) if self.plan else None
 
-    def _replace(self, snapshot: FeedSnapshot, source: str) -> None:
-        previous = self._snapshot
-        self._snapshot = snapshot
-        if snapshot.document and snapshot.document != previous.document:
-            self._update_plan(snapshot.document)
+    def _follow(self, received: _State, source: str) -> None:
+        """Take over what is newer in a received state."""
+        state = self._state
+        is_newer = received.position > state.position
+        is_same_epoch = received.position.epoch == state.position.epoch
+        plan = self._plan_of(received.document)
+        in_force = self.plan.version if self.plan else 0
+        if is_newer:
+            zones = state.zones.follow(
+                received.zones, is_same_epoch=is_same_epoch
+            )
+            self._replace(replace(received, zones=zones), plan, source)
+        elif plan is not None and plan.version > in_force:
+            # Another node got this document before the store was restored.
+            zones = state.zones
+            if is_same_epoch:
+                zones = zones.add_unconfirmed(received.zones.unconfirmed)
+            newer = _State(state.position, received.document, zones)
+            self._replace(newer, plan, source)
+        else:
+            self._log.info(
+                'snapshot ignored',
+                epoch=received.position.epoch,
+                revision=received.position.revision,
+                in_force=state.position.revision,
+                source=source,
+            )
+
+    def _replace(
+        self, state: _State, plan: RoutingPlan | None, source: str
+    ) -> None:
+        """Put a state in force, with its document only if there is a plan."""
+        previous = self._state
+        if plan is None:
+            state = replace(state, document=previous.document)
+        else:
+            self.plan = plan
+        self._state = state
         self._log.info(
             'revision in force',
-            revision=snapshot.revision,
-            before=previous.revision,
+            epoch=state.position.epoch,
+            revision=state.position.revision,
+            before=previous.position.revision,
             version=self.plan.version if self.plan else None,
-            zones_out=list(snapshot.zones_out),
-            document_bytes=len(snapshot.document),
+            zones_out=sorted(state.zones.all_out),
+            zones_unconfirmed=sorted(state.zones.unconfirmed),
+            document_bytes=len(state.document),
             source=source,
         )
         for listener in self._listeners:
             listener()
 
-    def _update_plan(self, document: bytes) -> None:
+    def _plan_of(self, document: bytes) -> RoutingPlan | None:
+        """Return the plan of a document, None to leave the one in force."""
+        if not document or document == self._state.document:
+            return None
         decoded = self._decode(document)
         if isinstance(decoded, Err):
             self._log.error('document ignored', reason=decoded.err_value)
-            return
+            return None
         plan = decoded.ok_value
         if self.plan is not None and plan.version < self.plan.version:
-            self._log.error(
+            self._log.warning(
                 'document ignored',
                 reason=f'version {plan.version} is older than the one in force',
                 version=self.plan.version,
             )
-            return
-        self.plan = plan
+            return None
+        return plan
--- a/bluebellsill/peer_stack.py
+++ b/bluebellsill/peer_stack.py
@@ -78,7 +78,7 @@
             '',
         )
         self.members = Members(own)
-        self.swim = Swim(self.members, random, lambda: replica.revision)
+        self.swim = Swim(self.members, random, lambda: replica.version)
         self.gossip_task = GossipTask(
             self.swim,
             self.gossip,
@@ -94,7 +94,7 @@
             self.gossip_task.verify,
         )
         replicator = RevisionReplicator(replica, self.links)
-        self.gossip_task.on_revision = replicator.on_peer_revision
+        self.gossip_task.on_version = replicator.on_peer_version
         self.server.on(RevisionRequest, replicator.on_request)
 
     def _hello(self, peer: str) -> Hello:
--- a/bluebellsill/platform/kv_store.py
+++ b/bluebellsill/platform/kv_store.py
@@ -294,25 +294,33 @@
             body = json.encode(document)
 
         def on_response(done: Result[Response, HttpFailure]) -> None:
-            if isinstance(done, Ok):
-                self._note_epoch(done.ok_value)
-            on_done(_decode(done, answer_type))
+            answer = _decode(done, answer_type)
+            if isinstance(done, Ok) and self._is_stale(done.ok_value):
+                reason = f'late answer from before epoch {self.epoch}'
+                answer = Err(KvFailure(reason, may_have_run=True))
+            on_done(answer)
 
         request = Request(method, path, headers, body)
         self._pool.request(request, timeout, on_response)
 
-    def _note_epoch(self, response: Response) -> None:
+    def _is_stale(self, response: Response) -> bool:
+        """Note the epoch of a response.
+
+        Returns:
+            Whether the store has been restored since it was sent.
+        """
         text = response.header(STORE_EPOCH)
         if not text:
-            return
+            return False
         if not text.isdecimal() or len(text) > _MAX_EPOCH_DIGITS:
             reason = f'{text[:_MAX_SHOWN_BYTES]!r} is not an epoch'
             self._log.warning('store epoch ignored', reason=reason)
-            return
+            return False
         epoch = int(text)
-        if epoch != self.epoch:
+        if epoch > self.epoch:
             self._log.info('store epoch changed', epoch=epoch, was=self.epoch)
-        self.epoch = epoch
+            self.epoch = epoch
+        return epoch < self.epoch
 
 
 def _decode(
--- a/bluebellsill/platform/operator_keys.py
+++ b/bluebellsill/platform/operator_keys.py
@@ -16,6 +16,7 @@
     FeedUpdate,
     ZoneWritten,
 )
+from bluebellsill.replica_version import StorePosition
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -48,27 +49,33 @@
         on_done: Callable[[Result[FeedSnapshot, FeedFailure]], None],
     ) -> None:
         """Read all keys."""
-        self._read_page('', [], 0, on_done)
+        self._read_page('', [], None, on_done)
 
     def watch(
         self,
-        revision: int,
+        position: StorePosition,
         wait: float,
         on_done: Callable[[Result[FeedUpdate, FeedFailure]], None],
     ) -> None:
-        """Wait up to ``wait`` seconds for the changes after a revision."""
-        self._store.watch(
-            _PREFIX,
-            revision,
-            wait,
-            lambda done: on_done(_feed_update(done)),
-        )
+        """Wait up to ``wait`` seconds for the changes after a position."""
+
+        def on_watched(done: Result[ItemWatch, KvFailure]) -> None:
+            update = _feed_update(done, position.epoch)
+            epoch = self._store.epoch
+            if isinstance(update, Ok) and epoch > position.epoch:
+                # A restored store gives out the lost revisions again, so it
+                # may answer a watch from one of an earlier epoch.
+                reason = f'store is in epoch {epoch}, not {position.epoch}'
+                update = Err(FeedFailure(reason, is_position_lost=True))
+            on_done(update)
+
+        self._store.watch(_PREFIX, position.revision, wait, on_watched)
 
     def _read_page(
         self,
         after: str,
         items: list[Item],
-        revision: int,
+        first: StorePosition | None,
         on_done: Callable[[Result[FeedSnapshot, FeedFailure]], None],
     ) -> None:
         def on_page(done: Result[ItemPage, KvFailure]) -> None:
@@ -78,36 +85,40 @@
             page = done.ok_value
             read = [*items, *page.items]
             # Pages are read one after another, so a later page may contain
-            # newer data; only the first revision is valid for all pages.
-            first = revision or page.current_rev
-            if page.more_pages and page.items:
-                self._read_page(page.items[-1].key, read, first, on_done)
+            # newer data; only the first position is valid for all pages.
+            epoch = self._store.epoch
+            position = first or StorePosition(epoch, page.current_rev)
+            if epoch > position.epoch:
+                reason = f'store was restored in between, epoch {epoch}'
+                on_done(Err(FeedFailure(reason)))
+            elif page.more_pages and page.items:
+                self._read_page(page.items[-1].key, read, position, on_done)
             else:
-                on_done(Ok(_snapshot(read, first)))
+                on_done(Ok(_snapshot(read, position)))
 
         self._store.range(_PREFIX, after, on_page)
 
 
-def _snapshot(items: list[Item], revision: int) -> FeedSnapshot:
+def _snapshot(items: list[Item], position: StorePosition) -> FeedSnapshot:
     document = b''
-    zones: list[str] = []
+    zones: set[str] = set()
     for item in items:
         if item.key == DOCUMENT_KEY:
             document = item.value
         elif item.key.startswith(ZONE_PREFIX):
-            zones.append(item.key.removeprefix(ZONE_PREFIX))
-    return FeedSnapshot(revision, document, tuple(sorted(zones)))
+            zones.add(item.key.removeprefix(ZONE_PREFIX))
+    return FeedSnapshot(position, document, frozenset(zones))
 
 
 def _feed_update(
-    done: Result[ItemWatch, KvFailure],
+    done: Result[ItemWatch, KvFailure], epoch: int
 ) -> Result[FeedUpdate, FeedFailure]:
     if isinstance(done, Err):
         return Err(_failure(done.err_value))
     watch = done.ok_value
     changes = [_change(event) for event in watch.events]
     known = tuple(change for change in changes if change is not None)
-    return Ok(FeedUpdate(known, watch.current_rev))
+    return Ok(FeedUpdate(known, StorePosition(epoch, watch.current_rev)))
 
 
 def _change(event: ItemEvent) -> FeedChange | None:
@@ -121,4 +132,4 @@
 
 def _failure(failure: KvFailure) -> FeedFailure:
     is_gone = failure.status == HTTPStatus.GONE
-    return FeedFailure(failure.reason, is_history_discarded=is_gone)
+    return FeedFailure(failure.reason, is_position_lost=is_gone)
--- a/bluebellsill/revision_replication.py
+++ b/bluebellsill/revision_replication.py
@@ -7,6 +7,7 @@
 from bluebellsill.logs import get_logger
 from bluebellsill.messages import RevisionRequest, Revisions
 from bluebellsill.peers import LinkLost, PeerConnection, PeerLinks
+from bluebellsill.replica_version import ReplicaVersion, StorePosition
 from bluebellsill.snapshot_compression import (
     SnapshotCompressor,
     decompress_snapshot,
@@ -16,14 +17,14 @@
 
 
 class Replica(Protocol):
-    """Data that all nodes replicate and whose revision never decreases."""
+    """Data that all nodes replicate and whose version never decreases."""
 
     @property
-    def revision(self) -> int:
-        """The revision of this node's copy."""
+    def version(self) -> ReplicaVersion:
+        """The version of this node's copy."""
 
-    def export(self, after: int) -> tuple[bytes, list[bytes]]:
-        """Return what a node at the older revision ``after`` lacks.
+    def export(self, after: ReplicaVersion) -> tuple[bytes, list[bytes]]:
+        """Return what a node at the version ``after`` lacks.
 
         Returns:
             A snapshot, or empty, and the changes to apply to it.
@@ -42,7 +43,7 @@
 
 
 class RevisionReplicator:
-    """Fetches missing revisions from a peer that has a newer one.
+    """Fetches what this node lacks from a peer that has it.
 
     A peer whose datagrams arrive may still not answer on its connection, so
     after a timeout another peer is asked while the first fetch continues.
@@ -57,9 +58,10 @@
         self._compressor = SnapshotCompressor()
         self._log = get_logger('revisions')
 
-    def on_peer_revision(self, peer: str, revision: int) -> None:
-        """Fetch from a peer if its revision is newer."""
-        if revision <= self._replica.revision:
+    def on_peer_version(self, peer: str, version: ReplicaVersion) -> None:
+        """Fetch from a peer if it has anything newer."""
+        own = self._replica.version
+        if not own.lacks(version):
             return
         now = self._links.now()
         requested_at = self._requested_at
@@ -68,7 +70,11 @@
         self._requested_at = now
         self._fetch_id = self._links.next_id()
         request = RevisionRequest(
-            self._fetch_id, self._replica.revision, accepts_compressed=True
+            self._fetch_id,
+            own.position.revision,
+            accepts_compressed=True,
+            epoch=own.position.epoch,
+            document_version=own.document,
         )
         self._links.request(
             peer,
@@ -81,14 +87,15 @@
         connection: PeerConnection,
         request: RevisionRequest,
     ) -> None:
-        """Send a peer the revisions after the one it has."""
-        snapshot, changes = self._replica.export(request.after)
+        """Send a peer what it lacks."""
+        position = StorePosition(request.epoch, request.after)
+        after = ReplicaVersion(position, request.document_version)
+        snapshot, changes = self._replica.export(after)
         is_compressed = (
             request.accepts_compressed and len(snapshot) >= _MIN_COMPRESSED
         )
         if is_compressed:
-            revision = self._replica.revision
-            snapshot = self._compressor.compress(revision, snapshot)
+            snapshot = self._compressor.compress(snapshot)
         connection.send(Revisions(request.id, snapshot, changes, is_compressed))
 
     def _on_reply(
--- a/bluebellsill/snapshot_compression.py
+++ b/bluebellsill/snapshot_compression.py
@@ -20,13 +20,13 @@
 
     def __init__(self) -> None:
         """Create a compressor without a snapshot."""
-        self._revision = 0
+        self._snapshot = b''
         self._compressed = b''
 
-    def compress(self, revision: int, snapshot: bytes) -> bytes:
-        """Return the compressed snapshot of a revision."""
-        if revision != self._revision:
-            self._revision = revision
+    def compress(self, snapshot: bytes) -> bytes:
+        """Return the compressed snapshot."""
+        if snapshot != self._snapshot:
+            self._snapshot = snapshot
             self._compressed = zlib.compress(snapshot, _LEVEL)
         return self._compressed
 
--- a/bluebellsill/swim.py
+++ b/bluebellsill/swim.py
@@ -31,6 +31,8 @@
     from collections.abc import Callable
     from random import Random
 
+    from bluebellsill.replica_version import ReplicaVersion
+
 __all__ = ('PERIOD', 'Datagram', 'Swim')
 
 PERIOD = 0.5  # seconds between the pings that a member sends
@@ -81,19 +83,19 @@
         self,
         members: Members,
         random: Random,
-        revision: Callable[[], int],
+        version: Callable[[], ReplicaVersion],
     ) -> None:
         """Create a detector.
 
         Args:
             members: The table to keep up to date.
             random: Selects the members to contact.
-            revision: Returns the configuration revision in force.
+            version: Returns the version of this node's replica.
         """
         self.members = members
         self.seeds: list[str] = []
         self._random = random
-        self._revision = revision
+        self._version = version
         self.next_sequence = 1
         self._probes: dict[int, _Probe] = {}
         self._relays: dict[int, _RelayedPing] = {}
@@ -211,12 +213,15 @@
     def _on_ping(self, ping: Ping, now: float) -> list[Datagram]:
         was_alone = len(self.members.by_id) == 1
         self._merge(ping.sender, ping.updates, now)
+        version = self._version()
         ack = Ack(
             ping.sequence,
             self.members.own.id,
             self.members.own,
-            self._revision(),
+            version.position.revision,
             self._dissemination.take(receiver=ping.sender.id),
+            version.position.epoch,
+            version.document,
         )
         datagrams = [Datagram(ping.sender.id, ack)]
         if was_alone:
@@ -299,7 +304,15 @@
     def _ping(self, address: str) -> Datagram:
         own = self.members.own
         updates = self._dissemination.take(receiver=address)
-        ping = Ping(self.next_sequence, own, self._revision(), updates)
+        version = self._version()
+        ping = Ping(
+            self.next_sequence,
+            own,
+            version.position.revision,
+            updates,
+            version.position.epoch,
+            version.document,
+        )
         self.next_sequence += 1
         return Datagram(address, ping)
 
@@ -318,12 +331,19 @@
 
     def _sync_request(self, address: str) -> Datagram:
         """Return a request for the records that differ at another member."""
-        own = self.members.own
-        hashes = self.members.hashes()
-        return Datagram(address, SyncRequest(own, self._revision(), hashes))
+        version = self._version()
+        request = SyncRequest(
+            self.members.own,
+            version.position.revision,
+            self.members.hashes(),
+            version.position.epoch,
+            version.document,
+        )
+        return Datagram(address, request)
 
     def _answer_sync(self, request: SyncRequest) -> list[Datagram]:
         own = self.members.own
+        version = self._version()
         records = list(self.members.differing(request.hashes))
         self._random.shuffle(records)
         records = records[:_MAX_SYNC_RECORDS]
@@ -331,7 +351,11 @@
             Datagram(
                 request.sender.id,
                 Sync(
-                    own, self._revision(), records[start : start + MAX_UPDATES]
+                    own,
+                    version.position.revision,
+                    records[start : start + MAX_UPDATES],
+                    version.position.epoch,
+                    version.document,
                 ),
             )
             for start in range(0, max(1, len(records)), MAX_UPDATES)
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -10,6 +10,7 @@
 from bluebellsill.gossip_messages import Member
 from bluebellsill.membership import Members, MemberState
 from bluebellsill.messages import Message, decode, encode
+from bluebellsill.replica_version import NO_VERSION
 from bluebellsill.swim import PERIOD, Datagram, Swim
 
 if TYPE_CHECKING:
@@ -50,7 +51,9 @@
             zone,
             'bookings',
         )
-        swim = Swim(Members(own), Random(self.random.random()), lambda: 0)
+        swim = Swim(
+            Members(own), Random(self.random.random()), lambda: NO_VERSION
+        )
         swim.seeds = ['10.0.0.1:7000', '10.0.0.2:7000']
         self.swims_by_id[member_id] = swim
         self.dead.discard(member_id)
--- a/tests/test_mesh_control.py
+++ b/tests/test_mesh_control.py
@@ -25,6 +25,7 @@
 from bluebellsill.operator_state import OperatorState
 from bluebellsill.registration import ENTRIES_PER_ZONE
 from bluebellsill.rendezvous import rank
+from bluebellsill.replica_version import ReplicaVersion, StorePosition
 from bluebellsill.route_table import RouteTable
 from bluebellsill.routing_plan import RoutingPlan
 from bluebellsill.timers import TimerService
@@ -32,20 +33,29 @@
 _STEP = 0.05  # seconds
 
 
+def _at(revision: int, epoch: int = 1) -> StorePosition:
+    return StorePosition(epoch, revision)
+
+
 class _FakeFeed:
     """An operator feed whose pending calls the test answers."""
 
     def __init__(self) -> None:
         self.reads: list[Callable[[Any], None]] = []
-        self.watches: list[tuple[int, Callable[[Any], None]]] = []
+        self.watches: list[
+            tuple[StorePosition, float, Callable[[Any], None]]
+        ] = []
 
     def read(self, on_done: Callable[[Any], None]) -> None:
         self.reads.append(on_done)
 
     def watch(
-        self, revision: int, wait: float, on_done: Callable[[Any], None]
+        self,
+        position: StorePosition,
+        wait: float,
+        on_done: Callable[[Any], None],
     ) -> None:
-        self.watches.append((revision, on_done))
+        self.watches.append((position, wait, on_done))
 
 
 class _Harness:
@@ -81,14 +91,15 @@
     harness = _Harness()
     harness.reader.start(immediate=True)
     assert len(harness.feed.reads) == 1
-    harness.feed.reads[0](Ok(FeedSnapshot(7, b'3', ('b',))))
+    harness.feed.reads[0](Ok(FeedSnapshot(_at(7), b'3', frozenset('b'))))
     assert harness.state.is_zone_out('b')
-    revision, on_done = harness.feed.watches[0]
-    assert revision == 7
-    on_done(Ok(FeedUpdate((DocumentWritten(9, b'4'),), 12)))
+    position, wait, on_done = harness.feed.watches[0]
+    assert position == _at(7)
+    assert wait > 0
+    on_done(Ok(FeedUpdate((DocumentWritten(9, b'4'),), _at(12))))
     assert harness.state.plan is not None
-    assert (harness.state.revision, harness.state.plan.version) == (9, 4)
-    assert harness.feed.watches[1][0] == 12
+    assert harness.state.version == ReplicaVersion(_at(9), 4)
+    assert harness.feed.watches[1][0] == _at(12)
 
 
 def test_nodes_that_start_together_read_once_per_zone() -> None:
@@ -105,12 +116,12 @@
     reading = [one for one in harnesses if one.feed.reads]
     assert len(reading) == 1
     # There is no document yet: the reader waits for it with one call.
-    reading[0].feed.reads[0](Ok(FeedSnapshot(7, b'', ())))
+    reading[0].feed.reads[0](Ok(FeedSnapshot(_at(7), b'', frozenset())))
     reading[0].advance(2)
     assert len(reading[0].feed.reads) == 1
-    assert [revision for revision, _ in reading[0].feed.watches] == [7]
-    reading[0].feed.watches[0][1](
-        Ok(FeedUpdate((DocumentWritten(9, b'4'),), 9))
+    assert [one[0] for one in reading[0].feed.watches] == [_at(7)]
+    reading[0].feed.watches[0][2](
+        Ok(FeedUpdate((DocumentWritten(9, b'4'),), _at(9)))
     )
     assert reading[0].state.plan is not None
 
@@ -118,10 +129,8 @@
 def test_discarded_history_causes_a_full_read() -> None:
     harness = _Harness()
     harness.reader.start(immediate=True)
-    harness.feed.reads[0](Ok(FeedSnapshot(7, b'3', ())))
-    harness.feed.watches[0][1](
-        Err(FeedFailure('gone', is_history_discarded=True))
-    )
+    harness.feed.reads[0](Ok(FeedSnapshot(_at(7), b'3', frozenset())))
+    harness.feed.watches[0][2](Err(FeedFailure('gone', is_position_lost=True)))
     assert len(harness.feed.reads) == 2
 
 
@@ -131,11 +140,11 @@
     ids.remove(first)
     harness = _Harness(first)
     harness.reader.start(immediate=True)
-    harness.feed.reads[0](Ok(FeedSnapshot(7, b'3', ())))
+    harness.feed.reads[0](Ok(FeedSnapshot(_at(7), b'3', frozenset())))
     harness.add_member(ids[0])
     assert harness.reader.is_reader
     for index in range(2):
-        harness.feed.watches[index][1](Err(FeedFailure('refused')))
+        harness.feed.watches[index][2](Err(FeedFailure('refused')))
         harness.advance(1)
     assert harness.members.own.is_store_lost
     assert not harness.reader.is_reader
@@ -143,6 +152,52 @@
     assert not harness.members.own.is_store_lost
 
 
+def test_reader_does_not_wait_until_the_store_has_its_position() -> None:
+    """A restored store may be at the reader's revision again."""
+    harness = _Harness()
+    harness.reader.start(immediate=True)
+    harness.feed.reads[0](Ok(FeedSnapshot(_at(7), b'3', frozenset())))
+    harness.feed.watches[0][2](Err(FeedFailure('reset')))
+    harness.advance(1)
+    position, wait, on_done = harness.feed.watches[1]
+    assert (position, wait) == (_at(7), 0)
+    on_done(Ok(FeedUpdate((), _at(7))))
+    assert harness.feed.watches[2][1] > 0
+
+
+def test_reader_follows_a_restored_store_to_a_lower_revision() -> None:
+    harness = _Harness()
+    harness.reader.start(immediate=True)
+    harness.feed.reads[0](Ok(FeedSnapshot(_at(7), b'3', frozenset())))
+    lost = FeedFailure('restored', is_position_lost=True)
+    harness.feed.watches[0][2](Err(lost))
+    restored = FeedSnapshot(_at(4, epoch=2), b'2', frozenset())
+    harness.feed.reads[1](Ok(restored))
+    assert harness.state.version == ReplicaVersion(_at(4, epoch=2), 3)
+    position, _, on_done = harness.feed.watches[1]
+    assert position == _at(4, epoch=2)
+    change = DocumentWritten(5, b'5')
+    on_done(Ok(FeedUpdate((change,), _at(5, epoch=2))))
+    assert harness.state.version == ReplicaVersion(_at(5, epoch=2), 5)
+
+
+def test_position_that_is_lost_at_once_again_is_retried_with_a_delay() -> None:
+    harness = _Harness()
+    harness.reader.start(immediate=True)
+    snapshot = FeedSnapshot(_at(7), b'3', frozenset())
+    lost = FeedFailure('gone', is_position_lost=True)
+    reads = 0
+    for _ in range(200):
+        while harness.feed.reads:
+            reads += 1
+            harness.feed.reads.pop()(Ok(snapshot))
+        if harness.feed.watches:
+            harness.feed.watches.pop()[2](Err(lost))
+        harness.advance(_STEP)
+    # Ten seconds; without a delay there is a read in each step.
+    assert reads < 40
+
+
 def test_each_zone_has_one_reader() -> None:
     ids = [f'10.0.0.{index}:1' for index in range(1, 6)]
     readers = 0
--- a/tests/test_revision_replication.py
+++ b/tests/test_revision_replication.py
@@ -9,14 +9,23 @@
 
 from bluebellsill.messages import RevisionRequest, Revisions, decode, encode
 from bluebellsill.peers import LinkLost
+from bluebellsill.replica_version import ReplicaVersion, StorePosition
 from bluebellsill.revision_replication import RevisionReplicator
 
 
+def _version(revision: int) -> ReplicaVersion:
+    return ReplicaVersion(StorePosition(0, revision))
+
+
 class _Replica:
     def __init__(self) -> None:
         self.revision = 1
 
-    def export(self, after: int) -> tuple[bytes, list[bytes]]:
+    @property
+    def version(self) -> ReplicaVersion:
+        return _version(self.revision)
+
+    def export(self, after: ReplicaVersion) -> tuple[bytes, list[bytes]]:
         return str(self.revision).encode(), []
 
     def merge(self, snapshot: bytes, changes: list[bytes], peer: str) -> None:
@@ -48,26 +57,26 @@
 def test_second_peer_is_asked_while_first_is_silent() -> None:
     links, replica = _Links(), _Replica()
     replicator = RevisionReplicator(replica, links)  # type: ignore[arg-type]
-    replicator.on_peer_revision('silent', 5)
+    replicator.on_peer_version('silent', _version(5))
     links.time = 0.1
-    replicator.on_peer_revision('other', 5)
+    replicator.on_peer_version('other', _version(5))
     assert [peer for peer, _ in links.requests] == ['silent']
     links.time = 0.3
-    replicator.on_peer_revision('other', 5)
+    replicator.on_peer_version('other', _version(5))
     assert [peer for peer, _ in links.requests] == ['silent', 'other']
     links.requests[1][1](Revisions(2, b'5', []))
     assert replica.revision == 5
     links.requests[0][1](LinkLost('silent', is_sent=True))
-    replicator.on_peer_revision('silent', 6)
+    replicator.on_peer_version('silent', _version(6))
     assert len(links.requests) == 3
 
 
 def test_late_reply_does_not_lower_revision() -> None:
     links, replica = _Links(), _Replica()
     replicator = RevisionReplicator(replica, links)  # type: ignore[arg-type]
-    replicator.on_peer_revision('first', 4)
+    replicator.on_peer_version('first', _version(4))
     links.time = 1
-    replicator.on_peer_revision('second', 5)
+    replicator.on_peer_version('second', _version(5))
     links.requests[1][1](Revisions(2, b'5', []))
     links.requests[0][1](Revisions(1, b'4', []))
     assert replica.revision == 5
@@ -82,7 +91,7 @@
         super().__init__()
         self.merged: list[bytes] = []
 
-    def export(self, after: int) -> tuple[bytes, list[bytes]]:
+    def export(self, after: ReplicaVersion) -> tuple[bytes, list[bytes]]:
         return _LARGE, []
 
     def merge(self, snapshot: bytes, changes: list[bytes], peer: str) -> None:
@@ -104,7 +113,7 @@
     links, replica, connection = _Links(), _LargeReplica(), _Connection()
     sender = RevisionReplicator(replica, links)  # type: ignore[arg-type]
     receiver = RevisionReplicator(replica, links)  # type: ignore[arg-type]
-    receiver.on_peer_revision('peer', 5)
+    receiver.on_peer_version('peer', _version(5))
     request = RevisionRequest(1, 1, accepts_compressed=True)
     sender.on_request(connection, request)  # type: ignore[arg-type]
     # Of 2.5 s, with about six nodes one after the other.
@@ -126,6 +135,6 @@
 def test_malformed_compressed_snapshot_is_ignored(snapshot: bytes) -> None:
     links, replica = _Links(), _LargeReplica()
     receiver = RevisionReplicator(replica, links)  # type: ignore[arg-type]
-    receiver.on_peer_revision('peer', 5)
+    receiver.on_peer_version('peer', _version(5))
     links.requests[0][1](Revisions(1, snapshot, [], is_compressed=True))
     assert replica.merged == []
--- a/tests/test_swim.py
+++ b/tests/test_swim.py
@@ -8,6 +8,7 @@
 
 from bluebellsill.gossip_messages import Ack, Member, Ping, SyncRequest
 from bluebellsill.membership import Members, MemberState
+from bluebellsill.replica_version import NO_VERSION
 from bluebellsill.swim import Swim
 from tests.cluster import Cluster
 
@@ -93,7 +94,7 @@
 def test_lone_member_requests_sync_on_first_contact() -> None:
     ready = int(MemberState.READY)
     members = Members(Member('10.0.0.1:1', 1, 0, ready, 'a', 's'))
-    swim = Swim(members, Random(1), lambda: 0)
+    swim = Swim(members, Random(1), lambda: NO_VERSION)
     peer = Member('10.0.0.2:1', 1, 0, ready, 'a', 's')
     datagrams = swim.handle(Ping(7, peer, 0, []), 0)
     assert [type(one.message) for one in datagrams] == [Ack, SyncRequest]
