Write a node's entry again when the restored store has lost it

Cause: what nodes had written since the copy is gone, leases too. A registered node looked for its entry every 5 s, with reads that may be stale, and an entry counted as present for 3 s after it was written. A node that had registered while alone began to count the time since it met others only when its entry was missed. Change: a change of the epoch makes registered nodes look at once, with a read that is not stale; a node of an entry that is missing then registers at once.

--- a/bluebellsill/discovery.py
+++ b/bluebellsill/discovery.py
@@ -84,6 +84,9 @@
         self._poll_timer: Timer | None = None
         self._polls_alone = 0
         self._early_polls = 0
+        # Whether the next poll must read the newest entries, since the store
+        # may have lost this node's own.
+        self._needs_exact_poll = False
         self._failures = 0
         self._log = get_logger('discovery')
 
@@ -101,6 +104,15 @@
         self._timers.every(self._renew_period, self._renew)
         self._timers.every(_ROLE_CHECK_PERIOD, self._check_role)
 
+    def on_store_restored(self) -> None:
+        """Check whether the restored store still has the node's entry."""
+        if not self._is_registered or self.is_stopped:
+            return
+        self._needs_exact_poll = True
+        if self._poll_timer is not None:
+            self._poll_timer.cancel()
+            self._schedule(self._random.uniform(0, _START_JITTER))
+
     @property
     def is_alone(self) -> bool:
         """Whether no other live node is known."""
@@ -111,11 +123,17 @@
 
     def _poll(self) -> None:
         self._poll_timer = None
-        if not self.is_stopped:
-            self._directory.list_nodes(self._on_listed)
+        if self.is_stopped:
+            return
+        is_exact = self._needs_exact_poll
+        self._directory.list_nodes(
+            lambda done: self._on_listed(done, is_exact=is_exact),
+            allow_stale=not is_exact,
+        )
 
     def _check_role(self) -> None:
         """Poll at once if this node has to register since members changed."""
+        self._policy.observe()
         timer = self._poll_timer
         if timer is None or self._failures or self._is_registered:
             return
@@ -126,6 +144,8 @@
     def _on_listed(
         self,
         done: Result[list[DirectoryEntry], DirectoryFailure],
+        *,
+        is_exact: bool,
     ) -> None:
         if isinstance(done, Err):
             self._on_failed(done.err_value)
@@ -147,7 +167,9 @@
         is_listed = any(one.node_id == own.id for one in entries)
         written_ago = self._timers.clock.now() - self._registered_at
         is_new = self._is_registered and written_ago <= _MAX_READ_AGE
-        self._is_registered = is_listed or is_new
+        self._is_registered = is_listed or (is_new and not is_exact)
+        if is_exact:
+            self._needs_exact_poll = False
         if not self._is_registered and self._policy.must_register():
             entry = DirectoryEntry(own.id, own.zone)
             self._directory.register(entry, self._on_registered)
@@ -177,18 +199,23 @@
         self._schedule(backoff * self._random.uniform(0.5, 1))
 
     def _schedule_poll(self) -> None:
+        period = self._next_period()
+        self._schedule(period * self._random.uniform(_MIN_PERIOD_FRACTION, 1))
+
+    def _next_period(self) -> float:
+        """Return the longest time in seconds until the next poll."""
+        if self._needs_exact_poll:
+            return _START_JITTER
         if self.is_alone:
             self._polls_alone += 1
             is_early = self._polls_alone <= _FIRST_ALONE_POLLS
-            period = _FIRST_ALONE_PERIOD if is_early else _ALONE_PERIOD
-        elif self._early_polls:
+            return _FIRST_ALONE_PERIOD if is_early else _ALONE_PERIOD
+        if self._early_polls:
             self._early_polls -= 1
-            period = _EARLY_PERIOD
-        elif self._is_registered:
-            period = _REGISTERED_PERIOD
-        else:
-            period = _UNREGISTERED_PERIOD
-        self._schedule(period * self._random.uniform(_MIN_PERIOD_FRACTION, 1))
+            return _EARLY_PERIOD
+        return (
+            _REGISTERED_PERIOD if self._is_registered else _UNREGISTERED_PERIOD
+        )
 
     def _renew(self) -> None:
         if self._is_registered and not self.is_stopped:
--- a/bluebellsill/mesh_node.py
+++ b/bluebellsill/mesh_node.py
@@ -86,6 +86,7 @@
         self._build_peers()
         self._build_interfaces()
         self._build_gauges()
+        self._store_epoch = 0  # at the last change of the operator state
         self._graceful_stop = GracefulStop(
             self._timers,
             self._in_flight,
@@ -311,6 +312,10 @@
             self._caller_side.server.limits = self._state.plan.limits
         if not self._settings.node.is_first_start:
             self._target_side.discover_target()
+        epoch = self._state.position.epoch
+        if self._store_epoch and epoch > self._store_epoch:
+            self._discovery.on_store_restored()
+        self._store_epoch = epoch
 
 
 def _flush() -> None:
--- a/bluebellsill/node_directory.py
+++ b/bluebellsill/node_directory.py
@@ -46,8 +46,16 @@
     def list_nodes(
         self,
         on_done: Callable[[Listing], None],
+        *,
+        allow_stale: bool,
     ) -> None:
-        """List the entries; the result may be some seconds old."""
+        """List the entries.
+
+        Args:
+            on_done: Called once with the entries or the failure.
+            allow_stale: Whether the result may be some seconds old, which
+                costs the store less.
+        """
 
     def register(
         self,
--- a/bluebellsill/platform/node_keys.py
+++ b/bluebellsill/platform/node_keys.py
@@ -47,8 +47,10 @@
     def list_nodes(
         self,
         on_done: Callable[[Listing], None],
+        *,
+        allow_stale: bool,
     ) -> None:
-        """List the first page of entries; the data may be seconds old."""
+        """List the first page of entries."""
 
         def on_page(done: Result[ItemPage, KvFailure]) -> None:
             if isinstance(done, Err):
@@ -57,7 +59,7 @@
             entries = [self._entry(item) for item in done.ok_value.items]
             on_done(Ok([entry for entry in entries if entry is not None]))
 
-        self._store.range(NODE_PREFIX, '', on_page, allow_stale=True)
+        self._store.range(NODE_PREFIX, '', on_page, allow_stale=allow_stale)
 
     def register(
         self,
--- a/bluebellsill/registration.py
+++ b/bluebellsill/registration.py
@@ -54,14 +54,17 @@
         """Register sooner if alone: a restarted node has callers waiting."""
         self._probability = _RESTART_PROBABILITY
 
+    def observe(self) -> None:
+        """Note when the first other node was known; call it regularly."""
+        if self._met_at is None and not self._is_alone():
+            self._met_at = self._clock.now()
+
     def is_chosen(self) -> bool:
         """Whether the members show that this node has to register."""
-        if self._is_alone():
+        self.observe()
+        if self._met_at is None or self._is_alone():
             return False
-        now = self._clock.now()
-        if self._met_at is None:
-            self._met_at = now
-        if now - self._met_at < _SETTLING_TIME:
+        if self._clock.now() - self._met_at < _SETTLING_TIME:
             return False
         own = self._members.own
         ids = [member.id for member in self._members.live_in_zone(own.zone)]
--- a/tests/test_mesh_control.py
+++ b/tests/test_mesh_control.py
@@ -218,10 +218,16 @@
         self.entries: list[DirectoryEntry] = []
         self.is_down = False
         self.list_calls = 0
+        self.exact_calls = 0
+        self.stale_entries: list[DirectoryEntry] | None = None
 
-    def list_nodes(self, on_done: Callable[[Any], None]) -> None:
+    def list_nodes(
+        self, on_done: Callable[[Any], None], *, allow_stale: bool
+    ) -> None:
         self.list_calls += 1
-        on_done(self._result(list(self.entries)))
+        self.exact_calls += not allow_stale
+        entries = self.stale_entries if allow_stale else None
+        on_done(self._result(list(entries or self.entries)))
 
     def register(
         self, entry: DirectoryEntry, on_done: Callable[[Any], None]
@@ -237,8 +243,11 @@
         return Err(DirectoryFailure('down')) if self.is_down else Ok(value)
 
 
-def _discovery(harness: _Harness, directory: _FakeDirectory) -> list[str]:
-    joined_addresses: list[str] = []
+def _start_discovery(
+    harness: _Harness,
+    directory: _FakeDirectory,
+    joined_addresses: list[str],
+) -> Discovery:
     peers: Any = SimpleNamespace(
         members=harness.members,
         swim=SimpleNamespace(seeds=[]),
@@ -246,6 +255,12 @@
     )
     discovery = Discovery(directory, peers, harness.timers, Random(1), 600)
     discovery.start(immediate=True)
+    return discovery
+
+
+def _discovery(harness: _Harness, directory: _FakeDirectory) -> list[str]:
+    joined_addresses: list[str] = []
+    _start_discovery(harness, directory, joined_addresses)
     return joined_addresses
 
 
@@ -263,6 +278,46 @@
     assert directory.entries == [DirectoryEntry('10.0.0.1:1', 'a')]
 
 
+def test_entry_that_a_restored_store_has_lost_is_written_at_once() -> None:
+    """Reads that may be stale still show it for some seconds."""
+    harness, directory = _Harness(), _FakeDirectory()
+    discovery = _start_discovery(harness, directory, [])
+    harness.advance(2)
+    harness.add_member('10.0.0.2:1')
+    own = DirectoryEntry('10.0.0.1:1', 'a')
+    assert directory.entries == [own]
+    harness.advance(10)
+    directory.stale_entries = [own]
+    directory.entries.clear()
+    directory.is_down = True
+    discovery.on_store_restored()
+    harness.advance(1)
+    directory.is_down = False
+    assert directory.exact_calls
+    harness.advance(2)
+    assert directory.entries == [own]
+
+
+def test_entry_that_was_just_written_and_lost_is_written_again() -> None:
+    """A new entry need not be listed yet, but by a read that is exact."""
+    harness, directory = _Harness(), _FakeDirectory()
+    discovery = _start_discovery(harness, directory, [])
+    harness.add_member('10.0.0.2:1')
+    while not directory.entries:
+        harness.advance(_STEP)
+    directory.entries.clear()
+    discovery.on_store_restored()
+    harness.advance(0.5)
+    assert directory.entries == [DirectoryEntry('10.0.0.1:1', 'a')]
+
+
+def test_calm_directory_is_never_read_exactly() -> None:
+    harness, directory = _Harness(), _FakeDirectory()
+    _discovery(harness, directory)
+    harness.advance(60)
+    assert not directory.exact_calls
+
+
 def test_single_node_registers_within_two_seconds() -> None:
     for _ in range(20):
         harness, directory = _Harness(), _FakeDirectory()
@@ -330,7 +385,9 @@
             len(one.live()) == count for one in self._members_by_id.values()
         )
 
-    def list_nodes(self, on_done: Callable[[Any], None]) -> None:
+    def list_nodes(
+        self, on_done: Callable[[Any], None], *, allow_stale: bool
+    ) -> None:
         """Answer with the entries that are older than the lag."""
         self.list_calls += 1
         limit = self.clock.now() - self._lag
