Pass over entries and reports that another writer has left

What would be seen: with one deeply nested entry in the node directory, nodes that start never meet the others, and no node looks at the directory again; with such an answer or document the store is never read again. Cause: decoders report deep nesting by a RecursionError, and Python refuses numbers of more than 4,300 digits by a ValueError; only decoding errors were expected, so the callback that continues the polls was never called. Numbers beyond 64 bits were accepted and could not be sent to other nodes; a start time of a target in the far future made all true reports look outdated. An entry with a host name would have been looked up, and ports in other scripts' digits were taken. Change: everything that others write is decoded by one module that returns every fault as an error; entries must name an IPv4 address and a port; numbers in documents and reports have bounds that fit into messages. Processes did not end: the reactor logs a failed task and goes on.

--- a/bluebellsill/change_records.py
+++ b/bluebellsill/change_records.py
@@ -6,7 +6,9 @@
 from typing import Any
 
 import msgspec
+from result import Err
 
+from bluebellsill.decoding import decode_json
 from bluebellsill.resources import Kind
 
 __all__ = (
@@ -135,11 +137,12 @@
 
 
 def _decode(payload: bytes, record_type: type[Any]) -> Any:
-    try:
-        return msgspec.json.decode(payload, type=record_type)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+    decoded = decode_json(payload, record_type)
+    if isinstance(decoded, Err):
         name = record_type.__name__
-        raise ConfigurationError(f'{name} record is invalid: {error}') from None
+        reason = f'{name} record is invalid: {decoded.err_value}'
+        raise ConfigurationError(reason)
+    return decoded.ok_value
 
 
 def decode_snapshot(payload: bytes) -> Snapshot:
--- a/bluebellsill/configuration_reader.py
+++ b/bluebellsill/configuration_reader.py
@@ -4,11 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from msgspec import DecodeError, ValidationError, json
+from msgspec import json
 from result import Err, Result
 
 from bluebellsill.change_records import ConfigurationError, Head
 from bluebellsill.configuration_writer import HEAD_KEY, ConfigurationWriter
+from bluebellsill.decoding import decode_json
 from bluebellsill.logs import get_logger
 from bluebellsill.rollout import readers_of
 
@@ -199,7 +200,10 @@
 def _decode_seeds(payload: bytes) -> dict[str, str]:
     if not payload:
         return {}
-    try:
-        return json.decode(payload, type=dict[str, str])
-    except (DecodeError, ValidationError):
+    decoded = decode_json(payload, dict[str, str])
+    if isinstance(decoded, Err):
+        get_logger('reader').warning(
+            'seeds in the store ignored', reason=decoded.err_value
+        )
         return {}
+    return decoded.ok_value
--- a/bluebellsill/messages.py
+++ b/bluebellsill/messages.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
-from msgspec import DecodeError, field, msgpack
+from msgspec import field, msgpack
+from result import Err
 
 from bluebellsill._wire import WireMessage
+from bluebellsill.decoding import decode_msgpack
 from bluebellsill.gossip_messages import (
     Ack,
     Applied,
@@ -368,7 +370,7 @@
     Raises:
         MessageError: The bytes are not a valid message.
     """
-    try:
-        return _decoder.decode(payload)
-    except (DecodeError, RecursionError) as error:
-        raise MessageError(f'invalid message: {error}') from error
+    decoded = decode_msgpack(payload, _decoder)
+    if isinstance(decoded, Err):
+        raise MessageError(f'invalid message: {decoded.err_value}')
+    return decoded.ok_value
--- a/bluebellsill/operator_api.py
+++ b/bluebellsill/operator_api.py
@@ -7,12 +7,12 @@
 from typing import TYPE_CHECKING, Any
 from urllib.parse import parse_qs, unquote
 
-from msgspec import DecodeError, json
 from result import Err, Result
 from xxhash import xxh3_128_digest
 
 from bluebellsill.change_records import Change, Draft
 from bluebellsill.configuration import Configuration
+from bluebellsill.decoding import decode_json, parse_whole_number
 from bluebellsill.errors import ErrorKind, Problem
 from bluebellsill.http import (
     Request,
@@ -133,11 +133,13 @@
         watch = parse_qs(query).get('watch')
         if watch is None:
             reply.send(json_response(HTTPStatus.OK, self._list(kind)))
-        elif watch[0].isdecimal():
-            self._watches.open(kind, int(watch[0]), reply)
-        else:
+            return
+        revision = parse_whole_number(watch[0])
+        if revision is None:
             message = f'watch={watch[0]!r} is not a revision'
             _refuse(reply, ErrorKind.BAD_REQUEST, message)
+        else:
+            self._watches.open(kind, revision, reply)
 
     def _list(self, kind: Kind) -> dict[str, Any]:
         names = set(self._configuration.resources_of_kind(kind))
@@ -224,12 +226,12 @@
         request: Request,
         reply: Reply,
     ) -> None:
-        try:
-            document = json.decode(request.body, type=dict[str, Any])
-        except DecodeError as error:
-            message = f'body is not a JSON object: {error}'
+        decoded = decode_json(request.body, dict[str, Any])
+        if isinstance(decoded, Err):
+            message = f'body is not a JSON object: {decoded.err_value}'
             _refuse(reply, ErrorKind.BAD_REQUEST, message)
             return
+        document = decoded.ok_value
         parsed = parse_spec(kind, name, document)
         if isinstance(parsed, Err):
             message = '; '.join(str(fault) for fault in parsed.err_value)
@@ -246,7 +248,8 @@
         reply: Reply,
     ) -> None:
         expected = request.header('if-match').strip('"')
-        if expected and not expected.isdecimal():
+        revision = parse_whole_number(expected)
+        if expected and revision is None:
             message = f'if-match {expected!r} is not a revision'
             _refuse(reply, ErrorKind.BAD_REQUEST, message)
             return
@@ -255,7 +258,7 @@
             kind,
             name,
             document,
-            int(expected) if expected else None,
+            revision,
         )
         self._writer.write(
             draft, lambda result: self._on_written(result, reply)
@@ -292,7 +295,8 @@
     def _show_status(self, request: Request, reply: Reply) -> None:
         query = parse_qs(request.path.partition('?')[2])
         text = query.get('revision', [str(self._configuration.revision)])[0]
-        if not text.isdecimal():
+        revision = parse_whole_number(text)
+        if revision is None:
             message = f'revision={text!r} is not a revision'
             _refuse(reply, ErrorKind.BAD_REQUEST, message)
             return
@@ -300,7 +304,7 @@
         def on_status(status: RolloutStatus) -> None:
             reply.send(json_response(HTTPStatus.OK, status.document()))
 
-        self._rollout.query(int(text), on_status)
+        self._rollout.query(revision, on_status)
 
     def _show_metrics(self, request: Request, reply: Reply) -> None:
         reply.send(json_response(HTTPStatus.OK, self._metrics.document()))
--- a/bluebellsill/operator_state.py
+++ b/bluebellsill/operator_state.py
@@ -8,6 +8,7 @@
 import msgspec
 from result import Err
 
+from bluebellsill.decoding import decode_msgpack
 from bluebellsill.logs import get_logger
 from bluebellsill.operator_feed import (
     DocumentWritten,
@@ -205,12 +206,12 @@
         """
         if not snapshot:
             return
-        try:
-            exported = _decoder.decode(snapshot)
-        except msgspec.DecodeError as error:
+        decoded = decode_msgpack(snapshot, _decoder)
+        if isinstance(decoded, Err):
             raise ValueError(
-                f'{peer} sent an invalid snapshot: {error}'
-            ) from error
+                f'{peer} sent an invalid snapshot: {decoded.err_value}'
+            )
+        exported = decoded.ok_value
         unconfirmed = frozenset(exported.zones_unconfirmed)
         zones = ZoneExclusions(
             frozenset(exported.zones_out) - unconfirmed,
--- a/bluebellsill/platform/endpoints.py
+++ b/bluebellsill/platform/endpoints.py
@@ -4,11 +4,14 @@
 
 from http import HTTPStatus
 from importlib import import_module
+from time import time
 from typing import TYPE_CHECKING, Annotated, Literal
 
-from msgspec import DecodeError, Meta, Struct, json
+from msgspec import Meta, Struct
+from result import Err
 
 from bluebellsill.announcement import Announcement
+from bluebellsill.decoding import WireInteger, decode_json
 from bluebellsill.http import Request, Response, json_response
 from bluebellsill.logs import get_logger
 from bluebellsill.target_reports import Departure, TargetReport
@@ -36,6 +39,10 @@
 REPORT_PREFIX = '/instances/'
 _MS_PER_SECOND = 1000
 _MAX_SLOTS = 100000  # more than any server has; rejects corrupt reports
+_MAX_COLD_MS = 3_600_000  # an hour; rejects corrupt reports
+# Milliseconds. A start that lies further in the future cannot be explained by
+# clocks that differ; it would make all true reports look outdated.
+_MAX_CLOCK_SKEW_MS = 86_400_000
 _DRAINING = 'draining'
 _CONTENT_TYPE = ('content-type', 'text/plain; version=0.0.4')
 
@@ -59,8 +66,8 @@
     """
 
     state: Literal['ready', 'draining']
-    sequence: Annotated[int, Meta(ge=0)]
-    cold_left_ms: Annotated[float, Meta(ge=0)] = 0
+    sequence: WireInteger
+    cold_left_ms: Annotated[float, Meta(ge=0, le=_MAX_COLD_MS)] = 0
 
 
 class Report(Struct, frozen=True):
@@ -69,13 +76,13 @@
     address: str
     info: Info
     status: Status
-    born: Annotated[int, Meta(ge=0)] = 0
+    born: WireInteger = 0
 
 
 class _DepartureBody(Struct, frozen=True):
     """The optional body of a departure message; see ``Report``."""
 
-    born: Annotated[int, Meta(ge=0)] = 0
+    born: WireInteger = 0
 
 
 class TargetReportApi:
@@ -120,10 +127,14 @@
             reply.send(Response(HTTPStatus.METHOD_NOT_ALLOWED))
 
     def _accept_report(self, name: str, body: bytes, reply: Reply) -> None:
-        try:
-            report = json.decode(body, type=Report)
-        except DecodeError as error:
-            self._reject(name, str(error), reply)
+        decoded = decode_json(body, Report)
+        if isinstance(decoded, Err):
+            self._reject(name, decoded.err_value, reply)
+            return
+        report = decoded.ok_value
+        if _is_in_future(report.born):
+            reason = f'start time {report.born} lies in the future'
+            self._reject(name, reason, reply)
             return
         found = (report.info.service, report.address)
         if found != (self._service, self._address):
@@ -133,16 +144,16 @@
         reply.send(json_response(HTTPStatus.OK, {}))
 
     def _accept_departure(self, name: str, body: bytes, reply: Reply) -> None:
-        try:
-            departure = (
-                json.decode(body, type=_DepartureBody)
-                if body
-                else _DepartureBody()
-            )
-        except DecodeError as error:
-            self._reject(name, str(error), reply)
+        decoded = decode_json(body or b'{}', _DepartureBody)
+        if isinstance(decoded, Err):
+            self._reject(name, decoded.err_value, reply)
+            return
+        born_ms = decoded.ok_value.born
+        if _is_in_future(born_ms):
+            reason = f'start time {born_ms} lies in the future'
+            self._reject(name, reason, reply)
             return
-        self._on_departure(Departure(name, departure.born))
+        self._on_departure(Departure(name, born_ms))
         reply.send(json_response(HTTPStatus.OK, {}))
 
     def _reject(self, name: str, reason: str, reply: Reply) -> None:
@@ -199,6 +210,10 @@
     return text
 
 
+def _is_in_future(born_ms: int) -> bool:
+    return born_ms > time() * _MS_PER_SECOND + _MAX_CLOCK_SKEW_MS
+
+
 def _to_target_report(name: str, report: Report) -> TargetReport:
     return TargetReport(
         name,
--- a/bluebellsill/platform/kv_store.py
+++ b/bluebellsill/platform/kv_store.py
@@ -8,9 +8,14 @@
 from typing import TYPE_CHECKING, Any, TypeVar
 from urllib.parse import urlencode
 
-from msgspec import UNSET, DecodeError, Struct, UnsetType, field, json
+from msgspec import UNSET, Struct, UnsetType, field, json
 from result import Err, Ok, Result
 
+from bluebellsill.decoding import (
+    WireInteger,
+    decode_json,
+    parse_whole_number,
+)
 from bluebellsill.http import Request, Response
 from bluebellsill.http_client import HttpPool
 from bluebellsill.logs import get_logger
@@ -44,7 +49,6 @@
 _WATCH_MARGIN = 1.0  # seconds added to the wait of a watch
 _MS_PER_SECOND = 1000
 _MAX_SHOWN_BYTES = 64  # of an invalid response, in the error message
-_MAX_EPOCH_DIGITS = 18  # a longer number is not an epoch
 
 RANGE_PATH = '/kv-range'
 WATCH_PATH = '/kv-watch'
@@ -67,7 +71,7 @@
 
     key: str
     value: bytes
-    revision: int
+    revision: WireInteger
     lease: int = 0
 
 
@@ -75,7 +79,7 @@
     """A change of one key: a new value or its deletion."""
 
     key: str
-    revision: int
+    revision: WireInteger
     value: bytes | UnsetType = UNSET
     deleted: bool = False
 
@@ -84,7 +88,7 @@
     """Items of a prefix; ``current_rev`` is the revision of the store."""
 
     items: list[Item]
-    current_rev: int
+    current_rev: WireInteger
     more_pages: bool = False
 
 
@@ -92,7 +96,7 @@
     """Events of a prefix; the next watch starts after ``current_rev``."""
 
     events: list[ItemEvent]
-    current_rev: int
+    current_rev: WireInteger
 
 
 class ExpectedRevision(Struct, frozen=True):
@@ -312,11 +316,11 @@
         text = response.header(STORE_EPOCH)
         if not text:
             return False
-        if not text.isdecimal() or len(text) > _MAX_EPOCH_DIGITS:
+        epoch = parse_whole_number(text)
+        if epoch is None:
             reason = f'{text[:_MAX_SHOWN_BYTES]!r} is not an epoch'
             self._log.warning('store epoch ignored', reason=reason)
             return False
-        epoch = int(text)
         if epoch > self.epoch:
             self._log.info('store epoch changed', epoch=epoch, was=self.epoch)
             self.epoch = epoch
@@ -334,8 +338,10 @@
     if response.status != HTTPStatus.OK:
         reason = f'store answered {response.status}'
         return Err(KvFailure(reason, response.status))
-    try:
-        return Ok(json.decode(response.body, type=answer_type))
-    except DecodeError as error:
-        reason = f'store sent {response.body[:_MAX_SHOWN_BYTES]!r}: {error}'
-        return Err(KvFailure(reason, response.status, may_have_run=True))
+    return decode_json(response.body, answer_type).map_err(
+        lambda fault: KvFailure(
+            f'store sent {response.body[:_MAX_SHOWN_BYTES]!r}: {fault}',
+            response.status,
+            may_have_run=True,
+        ),
+    )
--- a/bluebellsill/platform/node_keys.py
+++ b/bluebellsill/platform/node_keys.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 from http import HTTPStatus
+from ipaddress import AddressValueError, IPv4Address
 from typing import TYPE_CHECKING
 
-from msgspec import DecodeError, Struct, json
+from msgspec import Struct, json
 from result import Err, Ok, Result
 
+from bluebellsill.decoding import decode_json
 from bluebellsill.logs import get_logger
 from bluebellsill.node_directory import DirectoryEntry, DirectoryFailure
 from bluebellsill.platform.kv_store import KvWrite
+from bluebellsill.streams import Address
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -105,12 +108,24 @@
         )
 
     def _entry(self, item: Item) -> DirectoryEntry | None:
+        """Return a node's entry, None for one that another writer has left."""
+        decoded = decode_json(item.value, _NodeValue)
         node_id = item.key.removeprefix(NODE_PREFIX)
-        try:
-            node_value = json.decode(item.value, type=_NodeValue)
-        except DecodeError as error:
+        fault = decoded.err() or _address_fault(node_id)
+        if fault is not None or isinstance(decoded, Err):
             self._log.warning(
-                'directory entry ignored', key=item.key, reason=str(error)
+                'directory entry ignored', key=item.key, reason=fault
             )
             return None
-        return DirectoryEntry(node_id, node_value.zone)
+        return DirectoryEntry(node_id, decoded.ok_value.zone)
+
+
+def _address_fault(text: str) -> str | None:
+    """Return why a node cannot listen at an address, None if it can."""
+    try:
+        address = Address.parse(text)
+        # A host name would be looked up, which blocks the node.
+        IPv4Address(address.host)
+    except (AddressValueError, ValueError) as error:
+        return str(error)
+    return None if address.port else f'{text!r} has no port'
--- a/bluebellsill/platform/routing_document.py
+++ b/bluebellsill/platform/routing_document.py
@@ -5,9 +5,10 @@
 from functools import partial
 from typing import Annotated
 
-from msgspec import DecodeError, Meta, Struct, json
+from msgspec import Meta, Struct
 from result import Err, Ok, Result
 
+from bluebellsill.decoding import decode_json
 from bluebellsill.http_server import RequestLimits
 from bluebellsill.resources import Service
 from bluebellsill.route import Route, WeightedService
@@ -30,12 +31,19 @@
 # Per second: 50 probes; the platform allows 60 a second on average.
 _PROBE_BUDGET_MS = 300
 
-Milliseconds = Annotated[float, Meta(gt=0)]
+# Bounds that no sensible document reaches; beyond them a number is corrupt, and
+# messages between nodes could not carry it.
+_MAX_NUMBER = 10**9
+_MAX_MS = _MAX_NUMBER * _MS_PER_SECOND
+
+Milliseconds = Annotated[float, Meta(gt=0, le=_MAX_MS)]
+Count = Annotated[int, Meta(ge=1, le=_MAX_NUMBER)]
+Priority = Annotated[int, Meta(ge=-_MAX_NUMBER, le=_MAX_NUMBER)]
 
 
 class _WeightedService(Struct, frozen=True):
     service: str
-    weight: Annotated[int, Meta(ge=0)]
+    weight: Annotated[int, Meta(ge=0, le=_MAX_NUMBER)]
 
 
 class _PathRule(Struct, frozen=True):
@@ -57,9 +65,9 @@
     prefix: Annotated[str, Meta(pattern='^/(.*/)?$')]
     route_type: str
     timeout_ms: Milliseconds
-    target_latency_ms: Annotated[float, Meta(ge=0)] = 0
-    priority: int = 0
-    max_attempts: Annotated[int, Meta(ge=1)] = 1
+    target_latency_ms: Annotated[float, Meta(ge=0, le=_MAX_MS)] = 0
+    priority: Priority = 0
+    max_attempts: Count = 1
     service: str | None = None
     weighted_services: tuple[_WeightedService, ...] = ()
 
@@ -98,7 +106,7 @@
 
     name: str
     health_path: str = '/healthz'
-    cold_per_s: Annotated[float, Meta(gt=0)] = 1
+    cold_per_s: Annotated[float, Meta(gt=0, le=_MAX_NUMBER)] = 1
 
 
 class _Limits(Struct, frozen=True):
@@ -113,7 +121,7 @@
 class _Document(Struct, frozen=True):
     """The document; unused fields are not declared and thus ignored."""
 
-    version: Annotated[str, Meta(pattern='^r[0-9]+$')]
+    version: Annotated[str, Meta(pattern='^r[0-9]{1,18}$')]
     virtual_hosts: tuple[_VirtualHost, ...]
     services: tuple[_ServiceEntry, ...] = ()
     limits: _Limits | None = None
@@ -128,10 +136,13 @@
     Returns:
         The plan, or why the document is invalid.
     """
-    try:
-        document = json.decode(payload, type=_Document)
-    except (DecodeError, RecursionError) as error:
-        return Err(f'invalid routing document: {error}')
+    decoded = decode_json(payload, _Document)
+    if isinstance(decoded, Err):
+        return Err(f'invalid routing document: {decoded.err_value}')
+    return _plan(decoded.ok_value)
+
+
+def _plan(document: _Document) -> Result[RoutingPlan, str]:
     rules = [
         (host.hostname, rule.prefix, rule)
         for host in document.virtual_hosts
--- a/bluebellsill/store.py
+++ b/bluebellsill/store.py
@@ -9,6 +9,7 @@
 
 from result import Err, Ok, Result
 
+from bluebellsill.decoding import parse_whole_number
 from bluebellsill.http import Request, Response
 from bluebellsill.http_client import HttpPool
 
@@ -180,6 +181,7 @@
 
 def _parse_record(response: Response) -> Result[VersionedRecord, StoreFailure]:
     text = response.header(_VERSION_HEADER)
-    if not text.isdecimal():
+    version = parse_whole_number(text)
+    if version is None:
         return Err(StoreFailure(f'store returned invalid version {text!r}'))
-    return Ok(VersionedRecord(response.body, int(text)))
+    return Ok(VersionedRecord(response.body, version))
--- a/bluebellsill/streams.py
+++ b/bluebellsill/streams.py
@@ -47,7 +47,8 @@
             ValueError: The text is not a host and a port.
         """
         host, separator, port = text.rpartition(':')
-        if not separator or not host or not port.isdecimal():
+        is_number = port.isascii() and port.isdecimal()
+        if not separator or not host or not is_number:
             raise ValueError(
                 f'{text!r} is not an address of the form host:port'
             )
--- a/bluebellsill/target_api.py
+++ b/bluebellsill/target_api.py
@@ -5,9 +5,10 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
-import msgspec
+from result import Err, Ok, Result
 
 from bluebellsill.announcement import Announcement
+from bluebellsill.decoding import decode_json
 from bluebellsill.errors import ErrorKind, Problem
 from bluebellsill.http import (
     Request,
@@ -56,14 +57,12 @@
         if request.method != 'PUT':
             _refuse(reply, ErrorKind.METHOD_NOT_ALLOWED, request.method)
             return
-        try:
-            announcement = msgspec.json.decode(request.body, type=Announcement)
-            Address.parse(announcement.address)
-        except (msgspec.DecodeError, ValueError) as error:
-            _refuse(
-                reply, ErrorKind.BAD_REQUEST, f'invalid announcement: {error}'
-            )
+        decoded = decode_json(request.body, Announcement).and_then(_validate)
+        if isinstance(decoded, Err):
+            message = f'invalid announcement: {decoded.err_value}'
+            _refuse(reply, ErrorKind.BAD_REQUEST, message)
             return
+        announcement = decoded.ok_value
         self._runner.announce(announcement)
         document = {
             'node': self._node_id,
@@ -72,5 +71,13 @@
         reply.send(json_response(HTTPStatus.OK, document))
 
 
+def _validate(announcement: Announcement) -> Result[Announcement, str]:
+    try:
+        Address.parse(announcement.address)
+    except ValueError as error:
+        return Err(str(error))
+    return Ok(announcement)
+
+
 def _refuse(reply: Reply, kind: ErrorKind, message: str) -> None:
     reply.send(problem_response(Problem(kind, message)))
