Read numbers in headers that cannot be converted as not stated

What callers saw: a request with a deadline of 400 digits got no answer. Cause: a text of digits was taken for a number that can be converted; longer ones raise errors that nobody handles, in the headers of targets too.

--- a/bluebellsill/filters.py
+++ b/bluebellsill/filters.py
@@ -34,6 +34,7 @@
 KEY_HEADER = 'idempotency-key'
 _MAX_TENANT_LENGTH = 64  # characters
 _MAX_KEY_LENGTH = 200  # characters
+_MAX_DEADLINE_DIGITS = 15  # of milliseconds; longer numbers are cut
 _IDEMPOTENT_METHODS = frozenset(
     ('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE', 'TRACE')
 )
@@ -174,16 +175,16 @@
         stated_ms = inbound.request.header(self._header)
         budget_ms = int(inbound.route.timeout * 1000)
         if stated_ms:
-            if not stated_ms.isdecimal():
+            if not (stated_ms.isascii() and stated_ms.isdecimal()):
                 message = f'{self._header} {stated_ms!r} is not a whole number'
                 return Err(Problem(ErrorKind.BAD_REQUEST, message))
-            budget_ms = min(budget_ms, int(stated_ms))
+            # Longer numbers cannot be converted, and are above any budget.
+            caller_ms = int(stated_ms[:_MAX_DEADLINE_DIGITS])
+            budget_ms = min(budget_ms, caller_ms)
         inbound.deadline = inbound.received_at + budget_ms / 1000
         inbound.caller_deadline = inbound.deadline
         if stated_ms:
-            inbound.caller_deadline = (
-                inbound.received_at + int(stated_ms) / 1000
-            )
+            inbound.caller_deadline = inbound.received_at + caller_ms / 1000
         if self._now() >= inbound.deadline:
             message = f'deadline of {budget_ms} ms has passed'
             return Err(Problem(ErrorKind.EXPIRED, message))
--- a/bluebellsill/http_client.py
+++ b/bluebellsill/http_client.py
@@ -9,6 +9,7 @@
 from httptools import HttpParserError, HttpResponseParser
 from result import Err, Ok, Result
 
+from bluebellsill.decoding import parse_whole_number
 from bluebellsill.http import MAX_BODY, Headers, Request, Response
 from bluebellsill.http_exchange import Exchange, HttpFailure, ResponseRules
 from bluebellsill.idle_limit import IdleLimit
@@ -345,6 +346,7 @@
     """Return the seconds to keep an idle connection, per ``keep-alive``."""
     for part in response.header('keep-alive').split(','):
         name, _, seconds = part.strip().partition('=')
-        if name.lower() == 'timeout' and seconds.isdecimal():
-            return min(_IDLE_LIFETIME, _KEEP_ALIVE_FRACTION * int(seconds))
+        timeout = parse_whole_number(seconds)
+        if name.lower() == 'timeout' and timeout is not None:
+            return min(_IDLE_LIFETIME, _KEEP_ALIVE_FRACTION * timeout)
     return _IDLE_LIFETIME
--- a/bluebellsill/platform/target_dialect.py
+++ b/bluebellsill/platform/target_dialect.py
@@ -6,6 +6,7 @@
 from math import inf
 from typing import TYPE_CHECKING
 
+from bluebellsill.decoding import parse_whole_number
 from bluebellsill.errors import ErrorKind
 from bluebellsill.http_exchange import ResponseRules
 from bluebellsill.logs import get_logger
@@ -76,13 +77,12 @@
 
     def health(self, response: Response) -> TargetHealth:
         """Return the state reported in the response to a probe."""
-        cold_ms = response.header(COLD_LEFT)
-        is_number = cold_ms.isdecimal()
+        cold_ms = parse_whole_number(response.header(COLD_LEFT))
         return TargetHealth(
             response.header(TARGET_NAME),
             is_serving=response.status == HTTPStatus.OK
             and not _is_leaving(response),
-            cold_seconds=int(cold_ms) / _MS_PER_SECOND if is_number else None,
+            cold_seconds=None if cold_ms is None else cold_ms / _MS_PER_SECOND,
             slots=_load(response)[_SLOTS_INDEX],
         )
 
@@ -119,7 +119,6 @@
     All are 0 if the load header is missing or invalid.
     """
     fields = response.header(LOAD).split(',')
-    is_valid = len(fields) == _LOAD_FIELDS and all(
-        field.isdecimal() for field in fields
-    )
-    return [int(field) for field in fields] if is_valid else _NO_LOAD
+    parsed = [parse_whole_number(field) for field in fields]
+    numbers = [number for number in parsed if number is not None]
+    return numbers if len(numbers) == len(parsed) == _LOAD_FIELDS else _NO_LOAD
