Renew the lease that a node's entry has in the store

Cause: an entry that exists already, of an earlier process at the address or in a restored store, has another lease than the one granted last; that one was renewed, so the entry lapsed after 600 s, and after a restore its number may be another node's lease. Change: each listing tells the lease of the own entry.

--- a/bluebellsill/platform/node_keys.py
+++ b/bluebellsill/platform/node_keys.py
@@ -44,6 +44,7 @@
     def __init__(self, store: KvStore) -> None:
         """Create a directory that uses a client of the store."""
         self._store = store
+        self._own_id = ''  # of the entry that this node has registered
         self._lease = 0
         self._log = get_logger('directory')
 
@@ -75,6 +76,7 @@
             if isinstance(done, Err):
                 on_done(Err(DirectoryFailure(done.err_value.reason)))
                 return
+            self._own_id = entry.node_id
             self._lease = done.ok_value
             write = KvWrite(
                 f'{NODE_PREFIX}{entry.node_id}',
@@ -117,6 +119,10 @@
                 'directory entry ignored', key=item.key, reason=fault
             )
             return None
+        if node_id == self._own_id and item.lease:
+            # The entry of an earlier process, or in a restored store, has
+            # another lease than the one granted last.
+            self._lease = item.lease
         return DirectoryEntry(node_id, decoded.ok_value.zone)
 
 
