Restore the store from a copy in the randomized runs

Change: a fault that copies the store, takes it away for up to 2 s and restores it once or twice, with operators that repeat their writes at once or later.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -73,6 +73,7 @@
             self.disrupt_store,
             self.forget_history,
             self.forget_nodes,
+            self.restore_store,
             self.evacuate,
             self.change_configuration,
             self.partition_node,
@@ -206,6 +207,22 @@
         with self._disturbed_store(_STORE, 'forget_nodes'):
             self._deployment.delete_node_entries()
 
+    def restore_store(self, random: Random) -> None:
+        """Restore the store from a copy, after an outage; at times twice."""
+        age, down = random.uniform(0, _LONG), random.choice([0.1, _SHORT, 2.0])
+        rewrite_ms = random.choice([0, 300, 1500])
+        restores = random.choice([1, 1, 2])
+        behaviour = random.choice([{'refuses': True}, {'is_silent': True}])
+        what = f'{restores} x, {age:.1f} s old, {down} s, {rewrite_ms} ms'
+        self._deployment.copy_store()
+        time.sleep(age)
+        with self._disturbed_store(_STORE, f'restore_store {what}'):
+            for _ in range(restores):
+                self._deployment.set_store_faults(**behaviour)
+                time.sleep(down)
+                self._deployment.restore_store(rewrite_ms)
+                self._deployment.set_store_faults()
+
     def evacuate(self, random: Random) -> None:
         """Evacuate a zone for longer than the bound, then restore it."""
         zone = random.choice('abc')
