Count what an earlier process of the node has at its target

Cause: a restarted node took all slots for free, though not every target stops a request when its connection is closed. Change: the target's first report of its load, which each first start asks for, tells how many requests are not this process's own; they occupy slots until later reports show fewer. While they take all of them, the target is asked again every 50 ms. Later reports never raise the number, so that nothing changes where the first one finds the target idle.

--- a/bluebellsill/admission.py
+++ b/bluebellsill/admission.py
@@ -118,6 +118,9 @@
     def on_slowness(self, factor: float, now: float) -> None:
         """Record the ratio of current to usual service time."""
 
+    def on_load(self, requests: int) -> bool:
+        """Record the requests at the target; return whether it frees room."""
+
 
 class CallTracker:
     """Keeps the running and waiting calls of one target."""
@@ -259,6 +262,10 @@
     def on_slowness(self, factor: float, now: float) -> None:
         """Do nothing: the ramp needs only the latencies of answers."""
 
+    def on_load(self, requests: int) -> bool:
+        """Do nothing: the ramp needs only the latencies of answers."""
+        return False
+
     def _queue_timeout(self, ticket: Ticket, now: float) -> float:
         """Return how long a call may wait for a slot, in seconds.
 
--- a/bluebellsill/platform/target_dialect.py
+++ b/bluebellsill/platform/target_dialect.py
@@ -91,6 +91,11 @@
         percent = _load(response)[_SLOWNESS_INDEX]
         return percent / _PERCENT if percent else None
 
+    def load(self, response: Response) -> int | None:
+        """Return the running and queued requests, None if not reported."""
+        load = _load(response)
+        return sum(load[:_SLOTS_INDEX]) if load[_SLOTS_INDEX] else None
+
     def directive(self, response: Response) -> TargetDirective | None:
         """Return what the target asks for, None if it cannot be read."""
         text = response.header(RATE_LIMIT)
--- a/bluebellsill/slot_gate.py
+++ b/bluebellsill/slot_gate.py
@@ -10,10 +10,11 @@
 
 from heapq import heapify, heapreplace
 
-from bluebellsill.admission import CallTracker, Decision, Ticket
+from bluebellsill.admission import Decision, Ticket
 from bluebellsill.concurrency import ConcurrencyEstimator
 from bluebellsill.rate_limiter import RateLimiter
 from bluebellsill.service_times import ServiceTimes
+from bluebellsill.slot_tracker import SlotTracker
 from bluebellsill.slowness import SlownessTracker
 from bluebellsill.start_rate import (
     STRICT_COLD_RATE,
@@ -33,12 +34,15 @@
 # Seconds by which a call starts later than a stated rate allows it: a timer
 # that fires late, and the slowness report before the start.
 _START_DELAY = 0.02
+# Seconds until a target that still runs requests of an earlier process of this
+# node is asked again how many.
+_LOAD_CHECK_PERIOD = 0.05
 # Seconds by which the end of one cold period differs at most between two
 # reports: they are read on arrival, but a busy node may read them late.
 _COLD_REPORT_TOLERANCE = 0.5
 
 
-class SlotGate(CallTracker):
+class SlotGate(SlotTracker):
     """Limits concurrency at one target and orders its queue by urgency.
 
     A request waits only if its answer is expected within its target
@@ -89,7 +93,8 @@
         """
         if now >= ticket.expires_at:
             return Decision.REFUSE, None
-        has_room = self.load < self.limit and not self._start_delay(now)
+        is_occupied = self.occupied + len(self._queue) >= self.limit
+        has_room = not is_occupied and not self._start_delay(now)
         if has_room and not self._queue and self._should_start_now(ticket, now):
             self._start(ticket, now)
             return Decision.RUN, None
@@ -136,7 +141,7 @@
         """
         is_decided = self.slowness.is_fresh(now) or not self._has_capacity(now)
         exceeds_capacity = self._rate_limiter.wait(now) > 0 or (
-            len(self._queue) > self.limit - len(self._running)
+            len(self._queue) > self.limit - self.occupied
         )
         expired = [
             ticket
@@ -161,11 +166,15 @@
         """
         if not self._queue or len(self._running) >= self.limit:
             return None
+        if self.occupied >= self.limit:
+            return _LOAD_CHECK_PERIOD
         return self._start_delay(now) or None
 
     def needs_slowness_report(self, now: float) -> bool:
-        """Return whether only an outdated slowness keeps a call waiting."""
-        could_start = bool(self._queue) and self._has_capacity(now)
+        """Return whether only an outdated report keeps a call waiting."""
+        could_start = bool(self._queue) and (
+            self._has_capacity(now) or len(self._running) < self.limit
+        )
         return could_start and not self.slowness.is_fresh(now)
 
     def on_slowness(self, factor: float, now: float) -> None:
@@ -174,7 +183,8 @@
 
     def expected_wait(self, ticket: Ticket, now: float) -> float:
         """Return the expected seconds until a call could start."""
-        free_in = [float() for _ in range(self.limit - len(self._running))]
+        free_in = [float() for _ in range(self.limit - self.occupied)]
+        free_in += [_DEFAULT_SERVICE_TIME for _ in range(self.untracked)]
         free_in += [
             _remaining_time(running, self._usual_service_time(running), now)
             for running in self._running
@@ -212,9 +222,6 @@
     def on_overload(self) -> None:
         """Do nothing: the target states its slots itself."""
 
-    def on_cold(self) -> None:
-        """Do nothing: a started target reports how long it stays cold."""
-
     def limit_starts_until(self, cold_until: float, per_second: float) -> None:
         """Limit the start rate until the target is warm.
 
@@ -301,7 +308,7 @@
         )
 
     def _has_capacity(self, now: float) -> bool:
-        has_slot = len(self._running) < self.limit
+        has_slot = self.occupied < self.limit
         return has_slot and not self._start_delay(now)
 
     def _start_delay(self, now: float) -> float:
--- a/bluebellsill/slowness_meter.py
+++ b/bluebellsill/slowness_meter.py
@@ -1,4 +1,4 @@
-"""Asks a target for its slowness right before a call starts there."""
+"""Asks a target how slow and how loaded it is before a call starts there."""
 
 from __future__ import annotations
 
@@ -10,6 +10,8 @@
     from collections.abc import Callable
 
     from bluebellsill.admission import Admission
+    from bluebellsill.http import Response
+    from bluebellsill.target_dialect import TargetDialect
     from bluebellsill.timers import Timer, TimerService
 
 __all__ = ('SlownessMeter',)
@@ -29,6 +31,7 @@
     def __init__(
         self,
         timers: TimerService,
+        dialect: TargetDialect,
         gate: Admission,
         request_report: Callable[[], bool],
         on_complete: Callable[[], None],
@@ -37,6 +40,7 @@
 
         Args:
             timers: Limit the wait for a report.
+            dialect: Reads the reports.
             gate: Tells whether a start needs the slowness.
             request_report: Asks the target; returns whether its answer is
                 pending.
@@ -44,6 +48,7 @@
         """
         self.slowness = USUAL_SLOWNESS
         self._timers = timers
+        self._dialect = dialect
         self._gate = gate
         self._request_report = request_report
         self._on_complete = on_complete
@@ -60,11 +65,18 @@
         if not self._request_report():
             self.end()
 
-    def observe(self, factor: float | None) -> None:
-        """Record the slowness in an answer of the target, None if absent."""
+    def observe(self, response: Response) -> bool:
+        """Record the slowness and the load in a response of the target.
+
+        Returns:
+            Whether the load shows that more calls may run than before.
+        """
+        factor = self._dialect.slowness(response)
         if factor is not None:
             self.slowness = factor
             self._gate.on_slowness(factor, self._timers.clock.now())
+        requests = self._dialect.load(response)
+        return requests is not None and self._gate.on_load(requests)
 
     def end(self) -> None:
         """End the wait; assume the usual slowness if no report has come."""
--- a/bluebellsill/standins/mesh_target.py
+++ b/bluebellsill/standins/mesh_target.py
@@ -53,6 +53,7 @@
 _CALL_TIMEOUT = 5.0  # seconds; calls end earlier, at their deadline
 _CRASH_EXIT_STATUS = 70
 _MS_PER_SECOND = 1000
+_SHORT_QUEUE = 2  # requests
 _PERCENT = 100  # of the usual processing time
 _HEALTH_PATH = '/healthz'
 _STATS_PATH = '/_stats'
@@ -99,6 +100,10 @@
             before its reports do.
         probes_state_load_only: Whether responses to probes lack the two
             statements above.
+        hangs_when_full: Whether requests beyond the slots and a short queue
+            are never answered, nor is any later one on the same connection.
+        works_on: Whether runs go on when their connection is closed, until
+            their deadline.
     """
 
     slowness: float = 1
@@ -108,6 +113,8 @@
     rate_limit: float | None = None
     states_leaving: bool = False
     probes_state_load_only: bool = False
+    hangs_when_full: bool = False
+    works_on: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -250,13 +257,21 @@
             job.reply.send(Response(HTTPStatus.MISDIRECTED_REQUEST, headers))
             return
         if len(self._jobs) >= self._settings.slots:
-            if len(self._waiting) >= self._settings.slots:
-                self._reject(job)
-                return
-            self._waiting.append(job)
+            self._enqueue(job)
         else:
             self._run(job)
 
+    def _enqueue(self, job: _Job) -> None:
+        waiting = len(self._waiting)
+        if self._behaviour.hangs_when_full and waiting >= _SHORT_QUEUE:
+            # The connection serves one request at a time, so it answers no
+            # later one either.
+            self._counts['hung'] += 1
+        elif waiting >= self._settings.slots:
+            self._reject(job)
+        else:
+            self._waiting.append(job)
+
     def _reject(self, job: _Job) -> None:
         self._counts['rejected'] += 1
         headers = [(NOT_RUN, '1'), self._load(), self._id(job)]
@@ -279,7 +294,8 @@
                 'deadline_ms': request.header(DEADLINE),
             },
         )
-        job.reply.on_abandoned = lambda: self._abandon(job)
+        if not self._behaviour.works_on:
+            job.reply.on_abandoned = lambda: self._abandon(job)
         if 'call' in job.options:
             seconds = float(job.options.get('before', 0)) / _MS_PER_SECOND
             self.timers.after(seconds, lambda: self._call(job))
@@ -337,7 +353,11 @@
         if self._behaviour.fails:
             status = HTTPStatus.INTERNAL_SERVER_ERROR
         finish: Callable[[], None] = lambda: self._finish(job, status)
-        self.timers.after(seconds * self._behaviour.slowness, finish)
+        seconds *= self._behaviour.slowness
+        if self._behaviour.works_on:
+            deadline_ms = float(job.request.header(DEADLINE))
+            seconds = min(seconds, deadline_ms / _MS_PER_SECOND)
+        self.timers.after(seconds, finish)
 
     def _finish(self, job: _Job, status: HTTPStatus) -> None:
         if job not in self._jobs:
--- a/bluebellsill/target_dialect.py
+++ b/bluebellsill/target_dialect.py
@@ -88,6 +88,12 @@
         None if the response does not report it.
         """
 
+    def load(self, response: Response) -> int | None:
+        """Return how many requests the target runs and queues.
+
+        None if the response does not report it.
+        """
+
     def directive(self, response: Response) -> TargetDirective | None:
         """Return what the target asks for in a response.
 
@@ -124,6 +130,9 @@
     def slowness(self, response: Response) -> None:
         """Return None: native targets do not report their slowness."""
 
+    def load(self, response: Response) -> None:
+        """Return None: native targets do not report their load."""
+
     def directive(self, response: Response) -> TargetDirective:
         """Return no directive: native targets limit themselves."""
         return NO_DIRECTIVE
--- a/bluebellsill/target_runner.py
+++ b/bluebellsill/target_runner.py
@@ -96,6 +96,7 @@
         self._admission_timer: Timer | None = None
         self._slowness_meter = SlownessMeter(
             reactor.timers,
+            self._dialect,
             self.gate,
             self.watch.request_probe,
             self.admit,
@@ -137,8 +138,10 @@
             sent_at: When the probe was sent, in seconds.
         """
         self.directives.observe_probe(response, sent_at)
-        self._slowness_meter.observe(self._dialect.slowness(response))
+        has_room = self._slowness_meter.observe(response)
         self._slowness_meter.end()
+        if has_room:
+            self.admit()
 
     # Calls.
 
@@ -312,7 +315,7 @@
         call = run.call
         self.watch.on_answer()
         self.directives.observe(response, run.ticket.started_at)
-        self._slowness_meter.observe(self._dialect.slowness(response))
+        self._slowness_meter.observe(response)
         rejection = self._dialect.rejection(response)
         if rejection is not None:
             if rejection is not ErrorKind.OVERLOADED:
--- a/tests/test_slot_gate.py
+++ b/tests/test_slot_gate.py
@@ -242,3 +242,36 @@
         in_time.append(sum(latency <= 0.5 for latency in latencies) / 12 / 60)
     assert in_time[1] > in_time[0] + 0.1
     assert in_time[1] > 0.85
+
+
+def test_requests_of_an_earlier_process_occupy_slots_until_they_end() -> None:
+    gate = _gate()
+    gate.on_load(_SLOTS)
+    waiting = Ticket(1, 5)
+    assert gate.offer(waiting, 0) == (Decision.WAIT, None)
+    assert gate.admit(0) == []
+    # Nothing else tells when they end, so the target has to be asked again.
+    assert gate.delay_until_start(0) is not None
+    assert gate.needs_slowness_report(1)
+    gate.on_slowness(1, 1)
+    assert gate.on_load(_SLOTS - 1)
+    assert gate.admit(1) == [waiting]
+    assert gate.offer(Ticket(1, 5, may_wait=False), 1)[0] is Decision.REFUSE
+
+
+def test_later_reports_of_load_take_no_slots_away() -> None:
+    """They may contain calls that this node has cancelled."""
+    gate = _gate()
+    gate.on_load(0)
+    assert not gate.on_load(_SLOTS)
+    assert gate.offer(Ticket(1, 1), 0) == (Decision.RUN, None)
+
+
+def test_started_target_has_no_requests_of_an_earlier_process() -> None:
+    gate = _gate()
+    gate.on_load(_SLOTS)
+    gate.on_cold()
+    assert gate.offer(Ticket(1, 1), 0) == (Decision.RUN, None)
+    gate.on_load(_SLOTS)
+    gate.finish(Ticket(1, 1))
+    assert gate.expected_wait(Ticket(1, 1), 0) > 0
