--- a/bluebellsill/feed_reader.py
+++ b/bluebellsill/feed_reader.py
@@ -107,6 +107,12 @@
         ids = candidate_ids or [member.id for member in zone_members]
         return own.id in rank(own.zone, ids, 1)
 
+    @property
+    def _is_store_lost_in_zone(self) -> bool:
+        """Whether a node of this availability zone has lost the store."""
+        zone_members = self._members.live_in_zone(self._members.own.zone)
+        return any(member.is_store_lost for member in zone_members)
+
     def _check(self) -> None:
         if self._has_pending_read or self._is_stopped:
             return
@@ -120,7 +126,9 @@
         is_reader = self.is_reader and may_read
         if is_reader != self._was_reader:
             self._was_reader = is_reader
-            self._is_verified = False
+            self._is_verified = (
+                self._is_verified and not self._is_store_lost_in_zone
+            )
             self._log.info('reader changed', is_reader=is_reader)
         if is_reader or is_peer_data_overdue:
             self._send_read()
--- a/tests/test_mesh_control.py
+++ b/tests/test_mesh_control.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import pytest
+from msgspec.structs import replace
 from result import Err, Ok, Result
 
 from bluebellsill.clock import ManualClock
@@ -165,6 +166,28 @@
     assert harness.feed.watches[2][1] > 0
 
 
+def test_next_reader_does_not_wait_while_the_store_is_lost_to_another() -> None:
+    ids = ['10.0.0.1:1', '10.0.0.2:1']
+    first = rank('a', ids, 1)[0]
+    ids.remove(first)
+    for is_lost in (False, True):
+        harness = _Harness(ids[0])
+        harness.reader.start(immediate=True)
+        harness.feed.reads[0](Ok(FeedSnapshot(_at(7), b'3', frozenset())))
+        harness.add_member(first)
+        harness.feed.watches[0][2](Ok(FeedUpdate((), _at(7))))
+        harness.advance(1)
+        assert len(harness.feed.watches) == 1
+        record = harness.members.by_id[first]
+        state = record.state if is_lost else int(MemberState.GONE)
+        gone = replace(record, version=1, state=state, is_store_lost=is_lost)
+        harness.members.merge(gone, harness.clock.now())
+        harness.advance(1)
+        wait = harness.feed.watches[1][1]
+        # On a calm day, the next reader asks the store no more than before.
+        assert (wait == 0) == is_lost
+
+
 def test_reader_follows_a_restored_store_to_a_lower_revision() -> None:
     harness = _Harness()
     harness.reader.start(immediate=True)
