--- a/tests/test_full_target.py
+++ b/tests/test_full_target.py
@@ -7,11 +7,11 @@
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
-from typing import Any
 
 import pytest
 
 from demo.mesh_harness import MeshDeployment, Reply, running, wait_until
+from tests.path_rules import path_rule
 
 _SLOTS = 6  # of a stand-in target
 _DEADLINE_MS = 1500
@@ -20,19 +20,6 @@
 _SECONDS = 3.0
 
 
-def _route(service: str, route_type: str) -> dict[str, Any]:
-    return {
-        'name': f'r-{service}',
-        'prefix': f'/{service}/',
-        'route_type': route_type,
-        'timeout_ms': _DEADLINE_MS,
-        'target_latency_ms': 500,
-        'priority': 1,
-        'service': service,
-        'max_attempts': 2,
-    }
-
-
 @pytest.fixture
 def deployment(tmp_path: Path) -> Iterator[MeshDeployment]:
     """One target of each of two services, and an entry node for callers."""
@@ -41,7 +28,15 @@
         found.add('a', 'pay')
         found.add('a', 'other')
         found.declare(
-            [_route('shop', 'idempotent'), _route('pay', 'non_idempotent')]
+            [
+                path_rule('/shop/', timeout_ms=_DEADLINE_MS),
+                path_rule(
+                    '/pay/',
+                    'pay',
+                    route_type='non_idempotent',
+                    timeout_ms=_DEADLINE_MS,
+                ),
+            ]
         )
         for vm in found.vms[:2]:
             wait_until(
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -19,26 +19,14 @@
     running,
     wait_until,
 )
+from tests.path_rules import path_rule
 
 _ZONES = ('a', 'b', 'c')
 
 
-def _route(prefix: str, service: str, **changes: Any) -> dict[str, Any]:
-    return {
-        'name': f'r-{service}-{prefix.strip("/")}',
-        'prefix': prefix,
-        'route_type': 'idempotent',
-        'timeout_ms': 1000,
-        'target_latency_ms': 500,
-        'priority': 1,
-        'service': service,
-        'max_attempts': 2,
-    } | changes
-
-
 _ROUTES = [
-    _route('/shop/', 'shop'),
-    _route('/pay/', 'pay', route_type='non_idempotent', priority=0),
+    path_rule('/shop/', 'shop'),
+    path_rule('/pay/', 'pay', route_type='non_idempotent', priority=0),
 ]
 
 
@@ -156,7 +144,7 @@
     reply = deployment.call(restarted, '/shop/x')
     assert reply.status == 200
     deployment.set_store_faults()
-    routes = [*_ROUTES, _route('/new/', 'shop')]
+    routes = [*_ROUTES, path_rule('/new/', 'shop')]
     deployment.declare(routes)
 
     def is_in_force() -> bool:
@@ -171,7 +159,7 @@
     deployment: MeshDeployment,
 ) -> None:
     for one in range(3):
-        routes = [*_ROUTES, _route(f'/new{one}/', 'shop')]
+        routes = [*_ROUTES, path_rule(f'/new{one}/', 'shop')]
         deployment.declare(routes)
         deployment.operate('PUT', 'op/evacuate/b', b'{}')
         deployment.drop_store_history()
@@ -221,7 +209,7 @@
 
     Found by a randomized run: palaistra trouble-3 --seed 377356723513.
     """
-    deployment.declare([*_ROUTES, _route('/gone/', 'gone')])
+    deployment.declare([*_ROUTES, path_rule('/gone/', 'gone')])
     vms = deployment.vms
     wait_until(
         lambda: all(deployment.call(vm, '/gone/x').status == 503 for vm in vms),
@@ -291,7 +279,7 @@
     vm = deployment.vms[0]
     routes = [
         *_ROUTES,
-        _route(
+        path_rule(
             '/long/',
             'pay',
             route_type='non_idempotent',
@@ -351,7 +339,7 @@
 ) -> None:
     """Otherwise it would be cut off when the process ends."""
     vm = next(one for one in deployment.vms if one.service == 'pay')
-    long = _route('/long/', 'pay', timeout_ms=9000, target_latency_ms=9000)
+    long = path_rule('/long/', 'pay', timeout_ms=9000, target_latency_ms=9000)
     deployment.declare([*_ROUTES, long])
     wait_until(
         lambda: deployment.call(vm, '/long/x', method='POST').status == 200,
@@ -409,7 +397,7 @@
 ) -> None:
     """Callers still use a node for two seconds after it was asked to stop."""
     only_vm = deployment.add('a', 'solo')
-    deployment.declare([*_ROUTES, _route('/solo/', 'solo')])
+    deployment.declare([*_ROUTES, path_rule('/solo/', 'solo')])
     entry = deployment.vms[0]
     wait_until(
         lambda: deployment.call(entry, '/solo/x').status == 200,
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -30,6 +30,7 @@
 from bluebellsill.streams import Address
 from bluebellsill.target_reports import Departure, TargetReport
 from demo.mesh_harness import MeshDeployment, fetch, running, wait_until
+from tests.path_rules import path_rule
 
 _NESTED = b'[' * 100_000 + b']' * 100_000
 _LONG_NUMBER = b'9' * 5000
@@ -271,23 +272,11 @@
                 found.operate('PUT', f'{NODE_PREFIX}{name}', b'{"zone":"a"}')
         found.add('a', 'shop')
         found.add('b', 'shop')
-        found.declare([_ROUTE])
+        found.declare([path_rule('/shop/')])
         wait_until(lambda: _serve(found, 'shop'), 'all nodes serve')
         yield found
 
 
-_ROUTE = {
-    'name': 'r-shop',
-    'prefix': '/shop/',
-    'route_type': 'idempotent',
-    'timeout_ms': 1000,
-    'target_latency_ms': 500,
-    'priority': 1,
-    'service': 'shop',
-    'max_attempts': 2,
-}
-
-
 def _serve(found: MeshDeployment, prefix: str) -> bool:
     return all(found.call(vm, f'/{prefix}/x').status == 200 for vm in found.vms)
 
@@ -305,7 +294,7 @@
     deployment.operate('PUT', 'op/config', _NESTED)
     deployment.operate('PUT', f'op/evacuate/{"9" * 100}', _NESTED)
     time.sleep(1)
-    deployment.declare([_ROUTE, {**_ROUTE, 'name': 'n', 'prefix': '/new/'}])
+    deployment.declare([path_rule('/shop/'), path_rule('/new/')])
     wait_until(lambda: _serve(deployment, 'new'), 'the change is in force', 2)
     for vm in deployment.vms:
         assert vm.node is not None
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -19,6 +19,7 @@
     running,
     wait_until,
 )
+from tests.path_rules import path_rule
 
 _ZONES = ('a', 'b', 'c')
 _IN_FORCE_SECONDS = 2.0  # of the pages, from the acknowledgement of a change
@@ -27,19 +28,7 @@
 
 
 def _routes(*prefixes: str) -> list[dict[str, Any]]:
-    return [
-        {
-            'name': f'r-{prefix}',
-            'prefix': f'/{prefix}/',
-            'route_type': 'idempotent',
-            'timeout_ms': 1000,
-            'target_latency_ms': 500,
-            'priority': 1,
-            'service': 'shop',
-            'max_attempts': 2,
-        }
-        for prefix in prefixes
-    ]
+    return [path_rule(f'/{prefix}/') for prefix in prefixes]
 
 
 @pytest.fixture
--- a/tests/test_target_directives.py
+++ b/tests/test_target_directives.py
@@ -11,6 +11,7 @@
 
 from bluebellsill.platform.headers import LEAVING
 from demo.mesh_harness import MeshDeployment, Reply, Vm, running, wait_until
+from tests.path_rules import path_rule
 
 _TARGETS = 3
 _RATE = 2.0  # requests a second
@@ -18,16 +19,6 @@
 # The most that a target may get in a window, as the platform's users state it.
 _MAX_IN_WINDOW = 1.5 * _RATE * _WINDOW + 5
 _CALLERS = 6
-_ROUTE = {
-    'name': 'r-shop',
-    'prefix': '/shop/',
-    'route_type': 'idempotent',
-    'timeout_ms': 1000,
-    'target_latency_ms': 500,
-    'priority': 1,
-    'service': 'shop',
-    'max_attempts': 2,
-}
 
 
 @pytest.fixture
@@ -36,7 +27,7 @@
     with running(tmp_path) as found:
         for _ in range(_TARGETS):
             found.add('a', 'shop')
-        found.declare([_ROUTE])
+        found.declare([path_rule('/shop/')])
         wait_until(lambda: _is_serving(found), 'all nodes serve requests')
         yield found
 
