--- a/review/3/case.py
+++ b/review/3/case.py
@@ -13,7 +13,8 @@
 LIMIT_MS = 3000  # time limit of the requesters
 HALF_SECOND = 0.5
 SECONDS = 12  # of traffic after the change
-GAP = 0.25  # between two requests of one requester
+GAP = 0.5  # seconds between two requests of one requester
+REQUESTERS = 4  # on each machine
 # The same proportions, 70 to 30.
 WEIGHTS = (7_000_000, 3_000_000) if TROUBLE else (7, 3)
 
@@ -74,7 +75,11 @@
 
 
 def play(world, seconds):
-    requesters = [Requester(world, node) for node in world.nodes]
+    requesters = [
+        Requester(world, node)
+        for node in world.nodes
+        for _ in range(REQUESTERS)
+    ]
     ends_at = time.monotonic() + seconds
     threads = [
         threading.Thread(target=one.run, args=(ends_at,)) for one in requesters
