Give up an answer of the store when it stalls, not while it arrives

Seen: a node on a link of 5 Mbit/s never reads a routing document of 1 MB. The answer takes 2.1 s, a watch that does not wait was given 1 s in all, so the node asked for it again and again and paid each time.

Cause: the timeout of a call covered the transfer of its answer.

--- a/bluebellsill/http_client.py
+++ b/bluebellsill/http_client.py
@@ -29,6 +29,8 @@
 # Fraction of the idle timeout in the ``keep-alive`` header of a server for
 # which an idle connection is reused.
 _KEEP_ALIVE_FRACTION = 0.7
+# Seconds beyond its timeout that a response may take while bytes arrive.
+_MAX_EXTENSION = 30
 _MAX_ANSWERED_IDS = 64  # of a connection; more than one call's attempts
 _BODYLESS = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 _NO_RULES = ResponseRules()
@@ -64,6 +66,7 @@
         on_done: Callable[[Result[Response, HttpFailure]], None],
         *,
         use_new_connection: bool = False,
+        stall_timeout: float = 0,
     ) -> Exchange:
         """Send a request.
 
@@ -73,13 +76,18 @@
             on_done: Called once with the complete response or a failure.
             use_new_connection: Whether to open a connection even if one is
                 idle.
+            stall_timeout: Seconds without further bytes after which a response
+                that has begun fails; until then it may exceed the timeout,
+                because a large body takes long on a slow link. 0 for none.
 
         Returns:
             The exchange, which can be cancelled.
         """
         id_header = self.rules.id_header
+        now = self.reactor.timers.clock.now()
         exchange = Exchange(
             on_done,
+            ends_by=now + timeout + _MAX_EXTENSION,
             is_head=request.method == 'HEAD',
             request_id=request.header(id_header) if id_header else '',
         )
@@ -93,7 +101,7 @@
         exchange.connection = connection
         exchange.timer = self.reactor.timers.after(
             timeout,
-            lambda: self._on_timeout(exchange, timeout),
+            lambda: self._on_timeout(exchange, timeout, stall_timeout),
         )
         connection.start(exchange, request)
         return exchange
@@ -114,6 +122,13 @@
         if connection in self._idle:
             self._idle.remove(connection)
 
+    def discard_idle(self) -> None:
+        """Close the idle connections, since the network may have lost them."""
+        while self._idle:
+            connection = self._idle.pop()
+            connection.stream.close()
+            self._open.discard(connection)
+
     def _take_idle(self, request_id: str) -> _ClientConnection | None:
         """Return the best idle connection for a request, if there is one.
 
@@ -143,7 +158,17 @@
         )
         return is_within_limit and idle_seconds <= connection.idle_lifetime
 
-    def _on_timeout(self, exchange: Exchange, timeout: float) -> None:
+    def _on_timeout(
+        self, exchange: Exchange, timeout: float, stall_timeout: float
+    ) -> None:
+        timers = self.reactor.timers
+        left = exchange.seconds_to_stall(stall_timeout, timers.clock.now())
+        if left > 0:
+            exchange.timer = timers.after(
+                left,
+                lambda: self._on_timeout(exchange, timeout, stall_timeout),
+            )
+            return
         connection = exchange.connection
         is_sent = connection is not None and connection.stream.is_connected
         if connection is not None:
@@ -192,6 +217,7 @@
         if exchange is None:
             self.stream.lose('bytes without a request in flight')
             return
+        exchange.received_at = self._pool.reactor.timers.clock.now()
         self._has_body_part = False
         try:
             self._parser.feed_data(chunk)
--- a/bluebellsill/http_exchange.py
+++ b/bluebellsill/http_exchange.py
@@ -59,7 +59,15 @@
 class Exchange:
     """A request in flight and the callback for its outcome."""
 
-    __slots__ = ('connection', 'is_head', 'on_done', 'request_id', 'timer')
+    __slots__ = (
+        'connection',
+        '_ends_by',
+        'is_head',
+        'on_done',
+        'received_at',
+        'request_id',
+        'timer',
+    )
 
     def __init__(
         self,
@@ -67,14 +75,37 @@
         *,
         is_head: bool,
         request_id: str = '',
+        ends_by: float = 0,
     ) -> None:
         """Create an exchange that calls ``on_done`` at most once."""
+        self._ends_by = ends_by  # latest end in seconds, whatever arrives
         self.request_id = request_id
         self.on_done: Callable[..., None] | None = on_done
         self.connection: ExchangeConnection | None = None
         self.timer: Timer | None = None
+        # When the latest bytes of the response arrived, None before the first.
+        self.received_at: float | None = None
         self.is_head = is_head
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a part of the response has arrived."""
+        return self.on_done is not None and self.received_at is not None
+
+    def seconds_to_stall(self, stall_timeout: float, now: float) -> float:
+        """Return the seconds until a response that has begun is given up.
+
+        Args:
+            stall_timeout: Seconds that may pass without further bytes.
+            now: The time in seconds.
+
+        Returns:
+            The seconds, not above 0 if it is given up or has not begun.
+        """
+        if self.received_at is None:
+            return 0
+        return min(self.received_at + stall_timeout, self._ends_by) - now
+
     def finish(self, outcome: Result[Response, HttpFailure]) -> None:
         """Report the outcome; later outcomes are ignored."""
         on_done = self.on_done
--- a/bluebellsill/platform/kv_store.py
+++ b/bluebellsill/platform/kv_store.py
@@ -305,7 +305,9 @@
             on_done(answer)
 
         request = Request(method, path, headers, body)
-        self._pool.request(request, timeout, on_response)
+        self._pool.request(
+            request, timeout, on_response, stall_timeout=_CALL_TIMEOUT
+        )
 
     def _is_stale(self, response: Response) -> bool:
         """Note the epoch of a response.
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -12,6 +12,7 @@
 import pytest
 from result import Err, Ok, Result
 
+from bluebellsill.clock import ManualClock
 from bluebellsill.http import Request, Response
 from bluebellsill.http_client import HttpPool
 from bluebellsill.messages import MessageError, decode
@@ -29,6 +30,7 @@
 from bluebellsill.platform.routing_document import decode_plan
 from bluebellsill.streams import Address
 from bluebellsill.target_reports import Departure, TargetReport
+from bluebellsill.timers import TimerService
 from demo.mesh_harness import MeshDeployment, fetch, running, wait_until
 from tests.path_rules import path_rule
 
@@ -115,12 +117,16 @@
     monkeypatch: pytest.MonkeyPatch, body: bytes
 ) -> None:
     def request(
-        pool: HttpPool, request: Request, timeout: float, on_done: Any
+        pool: HttpPool,
+        request: Request,
+        timeout: float,
+        on_done: Any,
+        **_: Any,
     ) -> None:
         on_done(Ok(Response(200, [], body)))
 
     monkeypatch.setattr(HttpPool, 'request', request)
-    reactor: Any = SimpleNamespace()
+    reactor: Any = SimpleNamespace(timers=TimerService(ManualClock()))
     store = KvStore(reactor, Address('10.0.0.1', 1))
     answers: list[Result[ItemPage, KvFailure]] = []
     store.range('op/', '', answers.append)
@@ -134,13 +140,17 @@
     epochs = ['3', epoch, '3']
 
     def request(
-        pool: HttpPool, request: Request, timeout: float, on_done: Any
+        pool: HttpPool,
+        request: Request,
+        timeout: float,
+        on_done: Any,
+        **_: Any,
     ) -> None:
         headers = [(STORE_EPOCH, epochs.pop(0))]
         on_done(Ok(Response(200, headers, b'{"items":[],"current_rev":1}')))
 
     monkeypatch.setattr(HttpPool, 'request', request)
-    reactor: Any = SimpleNamespace()
+    reactor: Any = SimpleNamespace(timers=TimerService(ManualClock()))
     store = KvStore(reactor, Address('10.0.0.1', 1))
     answers: list[Result[ItemPage, KvFailure]] = []
     while epochs:
