Let every node know how old its view is, and ask the store by itself

Cause: a node took part only when a reader said that it had lost the store. No node knew how old its own view was, so one whose readers were cut off, frozen, slow or without answers looked like one whose view was confirmed a moment ago.

Change: the first reader confirms the views of all nodes every 0.4 to 0.5 s: with the end of its watch (now 2 s), and in between with the renewal of a lease that does not exist, the cheapest call that only a store in service answers. Confirmations go as datagrams to the own zone and to the readers of the others, which relay them; each carries its age and the version confirmed, and counts only at a node that lacks nothing of it. A node whose view is older than its turn allows (0.9 s the other readers, 1.2 to 1.6 s all others) asks the store itself, whatever it believes of the readers, and stands in for them until its view is confirmed in time by others. The other readers' watches now wait 25 s. After failures the cheap call comes first. The age of the view is a gauge (view_age_ms) and in the log.

--- a/bluebellsill/feed_reader.py
+++ b/bluebellsill/feed_reader.py
@@ -1,4 +1,4 @@
-"""Store watch of the node that is the reader of its availability zone."""
+"""Reading of the operators' declarations from the store, at each node."""
 
 from __future__ import annotations
 
@@ -7,50 +7,71 @@
 from result import Err, Result
 
 from bluebellsill.logs import get_logger
-from bluebellsill.rendezvous import rank
 from bluebellsill.replica_version import NO_VERSION
 
 if TYPE_CHECKING:
     from random import Random
 
+    from bluebellsill.confirmations import Confirmations
     from bluebellsill.membership import Members
     from bluebellsill.operator_feed import (
         FeedFailure,
         FeedSnapshot,
         FeedUpdate,
         OperatorFeed,
+        PendingWatch,
     )
     from bluebellsill.operator_state import OperatorState
+    from bluebellsill.reading_order import ReadingOrder
     from bluebellsill.timers import TimerService
+    from bluebellsill.view_age import ViewAge
 
 __all__ = ('FeedReader',)
 
-_CHECK_PERIOD = 0.2  # seconds between checks of the reader role
-# Seconds. A network partition that drops packets is detected only when a
-# watch times out, so the wait is short.
-_WATCH_WAIT = 3.0
+_CHECK_PERIOD = 0.1  # seconds between checks of the role and the view's age
+# Seconds. The watch of the node that confirms the views is short, because an
+# answer that gets lost is noticed only at its end.
+_CONFIRMING_WAIT = 2.0
+_WATCH_WAIT = 25.0  # seconds; of the other readers
 # Seconds. While it is unknown whether the store still has the position, a
 # watch must not wait: a store that was restored and has reached the same
 # revision again would answer only at the end.
 _UNVERIFIED_WAIT = 0
+# Seconds since an answer to a watch for which the store's answers to other
+# calls show that the next watch is in place.
+_MAX_UNVERIFIED = 2.7
 _MIN_BACKOFF = 0.2  # seconds
 _MAX_BACKOFF = 2.0  # seconds
+_MAX_DOUBLINGS = 4  # of the shortest backoff
+# Seconds between the calls of a node that stands by while nobody is answered.
+# It has to notice within 3 s that the store answers it again.
+_STANDBY_PERIOD = 2.4
+_MIN_PERIOD_FRACTION = 0.8  # spreads these calls
 _FAILURES_UNTIL_LOST = 2  # consecutive failures before another node reads
 _LOST_RETRY_DELAY = 5.0  # seconds until a node that lost the store retries
 _PEER_DATA_TIMEOUT = 1.0  # seconds without peer data until any node reads
+# Seconds for which a node that took over for readers goes on reading after
+# others have confirmed its view in time.
+_STAND_IN_TIME = 2.0
+# Seconds. A node that stands in confirms the views before the next one in the
+# order asks, and after the first reader does if it is back.
+_STAND_IN_PATIENCE = 0.7
 _SOURCE = 'store'
 
 
 class FeedReader:
-    """Keeps one watch per availability zone on the store.
-
-    Each node derives the reader of its zone from the members, so no
-    election is needed. A reader that cannot reach the store announces it,
-    and the next node takes over. All other nodes receive the data from the
-    readers, so that the load on the store grows with the number of zones
-    and not of nodes. In a fleet that starts, a node that knows no other one
-    does not take itself for the reader until it has received no data for
-    some time. A restarted node reads at once, since callers wait.
+    """Reads the store as far as the other nodes do not.
+
+    One reader in each zone keeps a watch, and the first of them confirms the
+    views of all nodes: every node knows how old its own view may be. Where it
+    gets older than the ``ReadingOrder`` allows, the node asks the store itself,
+    whatever it believes of the readers, and stands in for them. A cheap call
+    shows whether the store answers before a watch is sent, so that nodes ask
+    often at a low price while it is down.
+
+    In a fleet that starts, a node that knows no other one does not take itself
+    for the reader until it has received no data for some time. A restarted
+    node reads at once, since callers wait.
     """
 
     def __init__(
@@ -58,6 +79,9 @@
         feed: OperatorFeed,
         state: OperatorState,
         members: Members,
+        order: ReadingOrder,
+        confirmations: Confirmations,
+        view: ViewAge,
         timers: TimerService,
         random: Random,
     ) -> None:
@@ -66,17 +90,31 @@
         self._feed = feed
         self._state = state
         self._members = members
+        self._order = order
+        self._confirmations = confirmations
+        self._view = view
         self._timers = timers
+        self._clock = timers.clock
         self._random = random
         self._cursor = NO_VERSION.position
         self._is_verified = False
-        self._has_pending_read = False
+        self._verified_at: float | None = None
+        self._is_reading = False  # whether a read of all keys is in flight
+        self._watch: PendingWatch | None = None
+        self._is_verifying = False  # whether the watch does not wait
+        self._is_pinging = False
+        # Whether this node confirmed the view last when a watch was answered.
+        self._is_confirming = False
         # Whether the snapshot that replaces a lost position has been requested
         # and no watch has succeeded since.
         self._has_lost_position = False
         self._failures = 0
+        self._retry_at: float = 0  # no call is made before
         self._was_reader = False
-        self._started_at = timers.clock.now()
+        # When this node last confirmed the view in place of the readers; None
+        # while it does not stand in for them.
+        self._stood_in_at: float | None = None
+        self._started_at = self._clock.now()
         self._may_read_alone = False
         self._log = get_logger('feed')
 
@@ -97,15 +135,17 @@
         self._members.update_own(is_store_lost=True)
 
     @property
-    def is_reader(self) -> bool:
-        """Whether this node is the reader of its availability zone."""
-        own = self._members.own
-        zone_members = self._members.live_in_zone(own.zone)
-        candidate_ids = [
-            member.id for member in zone_members if not member.is_store_lost
-        ]
-        ids = candidate_ids or [member.id for member in zone_members]
-        return own.id in rank(own.zone, ids, 1)
+    def _patience(self) -> float:
+        """The age in seconds of its view at which this node asks the store."""
+        patience = self._order.patience
+        if self._stood_in_at is None:
+            return patience
+        return min(patience, _STAND_IN_PATIENCE)
+
+    @property
+    def _is_due(self) -> bool:
+        """Whether it is this node's turn to confirm the view."""
+        return self._view.seconds > self._patience
 
     @property
     def _is_store_lost_in_zone(self) -> bool:
@@ -114,37 +154,144 @@
         return any(member.is_store_lost for member in zone_members)
 
     def _check(self) -> None:
-        if self._has_pending_read or self._is_stopped:
+        if self._is_stopped:
             return
-        is_overdue = (
-            self._timers.clock.now() - self._started_at > _PEER_DATA_TIMEOUT
-        )
-        is_peer_data_overdue = is_overdue and not self._state.position.revision
+        now = self._clock.now()
+        has_data = bool(self._state.position.revision)
+        is_overdue = now - self._started_at > _PEER_DATA_TIMEOUT
         may_read = (
             self._may_read_alone or is_overdue or len(self._members.live()) > 1
         )
-        is_reader = self.is_reader and may_read
+        self._update_role(is_reader=self._order.is_reader and may_read)
+        if self._is_wanted(is_data_overdue=is_overdue and not has_data):
+            self._keep_reading(now)
+        else:
+            self._drop_watch()
+        if not has_data:
+            self._view.restart()
+        elif self._is_due:
+            self._ask(now)
+
+    def _is_wanted(self, *, is_data_overdue: bool) -> bool:
+        """Whether this node has to follow the store."""
+        is_standing_in = self._stood_in_at is not None
+        return self._was_reader or is_standing_in or is_data_overdue
+
+    def _update_role(self, *, is_reader: bool) -> None:
         if is_reader != self._was_reader:
             self._was_reader = is_reader
             self._is_verified = (
                 self._is_verified and not self._is_store_lost_in_zone
             )
             self._log.info('reader changed', is_reader=is_reader)
-        if is_reader or is_peer_data_overdue:
+        since = self._stood_in_at
+        if since is not None and self._clock.now() - since > _STAND_IN_TIME:
+            self._stood_in_at = None
+            self._log.info(
+                'no longer standing in for the readers',
+                view_age=round(self._view.seconds, 3),
+                confirmed_by=self._view.source,
+            )
+
+    def _drop_watch(self) -> None:
+        """Cancel the pending watch, unless its answer is arriving."""
+        if self._watch is not None and not self._watch.is_receiving:
+            self._watch.cancel()
+            self._watch = None
+
+    def _keep_reading(self, now: float) -> None:
+        """Send the next call, after failures a cheap one first."""
+        if self._is_reading or self._watch is not None:
+            return
+        if self._failures >= _FAILURES_UNTIL_LOST:
+            self._ask(now)
+        elif now >= self._retry_at:
             self._send_read()
 
     def _send_read(self) -> None:
-        self._has_pending_read = True
         self._cursor = max(self._cursor, self._state.position)
         if not self._cursor.revision:
-            self._feed.read(self._on_read_done)
+            self._send_full_read()
+            return
+        wait: float = _UNVERIFIED_WAIT
+        if self._is_verified:
+            wait = _CONFIRMING_WAIT if self._is_confirming else _WATCH_WAIT
+        sent_at = self._clock.now()
+        self._is_verifying = not wait
+        self._watch = self._feed.watch(
+            self._cursor,
+            wait,
+            lambda outcome: self._on_watch_done(outcome, sent_at, wait),
+        )
+
+    def _send_full_read(self) -> None:
+        self._is_reading = True
+        sent_at = self._clock.now()
+        self._feed.read(lambda outcome: self._on_read_done(outcome, sent_at))
+
+    def _ask(self, now: float) -> None:
+        """Check whether the store answers, and then for what is newer."""
+        if self._is_pinging or self._is_reading or now < self._retry_at:
             return
-        wait = _WATCH_WAIT if self._is_verified else _UNVERIFIED_WAIT
-        self._feed.watch(self._cursor, wait, self._on_watch_done)
+        watch = self._watch
+        if watch is not None and (self._is_verifying or watch.is_receiving):
+            return
+        self._is_pinging = True
+        self._log.debug(
+            'view not confirmed, asking the store',
+            view_age=round(self._view.seconds, 3),
+            confirmed_by=self._view.source,
+            is_reader=self._was_reader,
+        )
+        self._feed.ping(lambda outcome: self._on_pinged(outcome, now))
 
-    def _on_read_done(self, outcome: Result[FeedSnapshot, FeedFailure]) -> None:
+    def _on_pinged(
+        self, outcome: Result[int, FeedFailure], sent_at: float
+    ) -> None:
+        self._is_pinging = False
+        if self._is_stopped:
+            return
         if isinstance(outcome, Err):
-            self._on_failure(outcome.err_value)
+            self._on_failure(outcome.err_value, sent_at)
+            return
+        watch = self._watch
+        if not self._is_due and (watch is not None or not self._was_reader):
+            self._on_store_answered()
+            return
+        if watch is not None and self._is_in_place(outcome.ok_value):
+            self._on_store_answered()
+            self._confirm(sent_at)
+        else:
+            self._verify()
+
+    def _is_in_place(self, epoch: int) -> bool:
+        """Whether the pending watch covers what the store has now."""
+        verified_at = self._verified_at
+        if verified_at is None or epoch != self._cursor.epoch:
+            return False
+        is_recent = self._clock.now() - verified_at <= _MAX_UNVERIFIED
+        return self._is_verified and is_recent
+
+    def _verify(self) -> None:
+        """Ask the store for what is newer than this node's view."""
+        if not self._was_reader and self._stood_in_at is None:
+            self._stood_in_at = self._clock.now()
+            self._log.info(
+                'standing in for the readers',
+                view_age=round(self._view.seconds, 3),
+                confirmed_by=self._view.source,
+            )
+        self._drop_watch()
+        if self._watch is None:
+            self._is_verified = False
+            self._send_read()
+
+    def _on_read_done(
+        self, outcome: Result[FeedSnapshot, FeedFailure], sent_at: float
+    ) -> None:
+        self._is_reading = False
+        if isinstance(outcome, Err):
+            self._on_failure(outcome.err_value, sent_at)
             return
         snapshot = outcome.ok_value
         self._log.info(
@@ -156,44 +303,64 @@
             zones_out=list(snapshot.zones_out),
         )
         self._cursor = snapshot.position
-        self._on_success()
+        self._on_verified()
         self._state.apply_snapshot(snapshot, _SOURCE)
-        self._read_next()
+        self._confirm(sent_at)
+        self._check()
 
-    def _on_watch_done(self, outcome: Result[FeedUpdate, FeedFailure]) -> None:
+    def _on_watch_done(
+        self,
+        outcome: Result[FeedUpdate, FeedFailure],
+        sent_at: float,
+        wait: float,
+    ) -> None:
+        self._watch = None
         if isinstance(outcome, Err):
-            failure = outcome.err_value
-            if failure.is_position_lost and not self._has_lost_position:
-                self._has_lost_position = True
-                self._log.info(
-                    'position lost, reading a snapshot',
-                    reason=failure.reason,
-                    epoch=self._cursor.epoch,
-                    revision=self._cursor.revision,
-                )
-                self._feed.read(self._on_read_done)
-            else:
-                self._on_failure(failure)
+            self._on_watch_failed(outcome.err_value, sent_at + wait)
             return
         update = outcome.ok_value
         self._has_lost_position = False
         self._cursor = max(self._cursor, update.position)
-        self._on_success()
+        self._on_verified()
         self._state.apply_update(update, _SOURCE)
-        self._read_next()
-
-    def _read_next(self) -> None:
-        self._has_pending_read = False
+        self._is_confirming = self._view.source == self._members.own.id
+        # The store answers when there is a change, or at the end of the wait.
+        answered_at = sent_at if update.changes else sent_at + wait
+        self._confirm(min(answered_at, self._clock.now()))
         self._check()
 
-    def _on_success(self) -> None:
+    def _on_watch_failed(self, failure: FeedFailure, due_at: float) -> None:
+        if not failure.is_position_lost or self._has_lost_position:
+            self._on_failure(failure, due_at)
+            return
+        self._has_lost_position = True
+        self._log.info(
+            'position lost, reading a snapshot',
+            reason=failure.reason,
+            epoch=self._cursor.epoch,
+            revision=self._cursor.revision,
+        )
+        self._send_full_read()
+
+    def _confirm(self, at: float) -> None:
+        if self._stood_in_at is not None and self._is_due:
+            self._stood_in_at = self._clock.now()
+        self._confirmations.publish(at)
+
+    def _on_verified(self) -> None:
+        self._is_verified = True
+        self._verified_at = self._clock.now()
+        self._on_store_answered()
+
+    def _on_store_answered(self) -> None:
         if self._failures:
             self._log.info('store regained', failures=self._failures)
         self._failures = 0
-        self._is_verified = True
+        self._retry_at = 0
         self._clear_store_lost()
 
-    def _on_failure(self, failure: FeedFailure) -> None:
+    def _on_failure(self, failure: FeedFailure, sent_at: float) -> None:
+        now = self._clock.now()
         self._failures += 1
         self._is_verified = False
         self._has_lost_position = False
@@ -201,23 +368,35 @@
             'store not read',
             reason=failure.reason,
             failures=self._failures,
+            view_age=round(self._view.seconds, 3),
             epoch=self._cursor.epoch,
             revision=self._cursor.revision,
         )
         is_marked_lost = self._members.own.is_store_lost
-        if self._failures >= _FAILURES_UNTIL_LOST and not is_marked_lost:
+        has_lost = self._failures >= _FAILURES_UNTIL_LOST
+        if has_lost and self._was_reader and not is_marked_lost:
             self._members.update_own(is_store_lost=True)
-            self._timers.after(_LOST_RETRY_DELAY, self._retry_store)
-        backoff = min(_MAX_BACKOFF, _MIN_BACKOFF * 2**self._failures)
-        self._read_after(backoff * self._random.uniform(0.5, 1))
-
-    def _read_after(self, seconds: float) -> None:
-        self._timers.after(seconds, self._read_next)
-
-    def _retry_store(self) -> None:
-        self._failures = 0
-        self._clear_store_lost()
+            self._timers.after(_LOST_RETRY_DELAY, self._clear_store_lost)
+        fraction = self._random.uniform(0, 1)
+        if self._state.position.revision and not self._was_reader:
+            self._retry_at = sent_at + _standby_period(fraction)
+        else:
+            self._retry_at = now + _backoff(self._failures, fraction)
 
     def _clear_store_lost(self) -> None:
         if self._members.own.is_store_lost and not self._is_stopped:
             self._members.update_own(is_store_lost=False)
+
+
+def _standby_period(fraction: float) -> float:
+    """Return the seconds between two calls of a node that stands by."""
+    spread = 1 - _MIN_PERIOD_FRACTION
+    return _STANDBY_PERIOD * (_MIN_PERIOD_FRACTION + spread * fraction)
+
+
+def _backoff(failures: int, fraction: float) -> float:
+    """Return the seconds that a reader waits after its last failure."""
+    # An exponent as large as the failures would make a number without end.
+    doublings = min(failures, _MAX_DOUBLINGS)
+    longest = min(_MAX_BACKOFF, _MIN_BACKOFF * (1 << doublings))
+    return longest * (1 + fraction) / 2
--- a/bluebellsill/gossip_messages.py
+++ b/bluebellsill/gossip_messages.py
@@ -8,6 +8,7 @@
 __all__ = (
     'Ack',
     'Applied',
+    'Confirmation',
     'Member',
     'Ping',
     'PingRequest',
@@ -109,7 +110,28 @@
     in_flight: int
 
 
-def version_of(message: Ping | Ack | SyncRequest | Sync) -> ReplicaVersion:
+class Confirmation(WireMessage, frozen=True, tag=38):
+    """Tells that a reader's copy is what the store has, as it has answered.
+
+    Attributes:
+        sender_id: The node that sent or relayed the message.
+        reader_id: The node that the store has answered.
+        age_ms: Milliseconds since the store is known to have had nothing
+            newer, when the message was sent.
+        revision: Of the reader's replica, like the following ones.
+    """
+
+    sender_id: str
+    reader_id: str
+    age_ms: int
+    revision: int
+    epoch: int
+    document_version: int
+
+
+def version_of(
+    message: Ping | Ack | SyncRequest | Sync | Confirmation,
+) -> ReplicaVersion:
     """Return the version of the replica of a message's sender."""
     position = StorePosition(message.epoch, message.revision)
     return ReplicaVersion(position, message.document_version)
--- a/bluebellsill/gossip_task.py
+++ b/bluebellsill/gossip_task.py
@@ -8,6 +8,7 @@
 from bluebellsill.gossip_messages import (
     Ack,
     Applied,
+    Confirmation,
     Ping,
     Sync,
     SyncRequest,
@@ -65,6 +66,7 @@
             load: Returns the number of calls in flight at the target.
         """
         self.on_version: Callable[[str, ReplicaVersion], None] | None = None
+        self.on_confirmation: Callable[[Confirmation], None] | None = None
         self._swim = swim
         self._gossip = gossip
         self._replica = replica
@@ -106,6 +108,9 @@
             if self._rollout is not None:
                 self._rollout.on_applied(message)
             return
+        if isinstance(message, Confirmation):
+            self._on_confirmation(message)
+            return
         if isinstance(message, Ack):
             is_behind = self._replica.lacks(version_of(message))
             self._freshness.on_answer(message.sequence, is_behind=is_behind)
@@ -136,6 +141,11 @@
             else:
                 self._gossip.send(reader, applied)
 
+    def _on_confirmation(self, message: Confirmation) -> None:
+        if self.on_confirmation is not None:
+            self.on_confirmation(message)
+        self._on_peer_version(message.sender_id, version_of(message))
+
     def _on_peer_version(self, peer: str, version: ReplicaVersion) -> None:
         if self.on_version is not None:
             self.on_version(peer, version)
--- a/bluebellsill/mesh_node.py
+++ b/bluebellsill/mesh_node.py
@@ -12,6 +12,7 @@
 from bluebellsill.acceptance import Acceptance
 from bluebellsill.caller_side import CallerSide
 from bluebellsill.clock import SystemClock
+from bluebellsill.confirmations import Confirmations
 from bluebellsill.crash_replication import CrashReplicator
 from bluebellsill.discovery import Discovery
 from bluebellsill.errors import ErrorKind
@@ -36,10 +37,12 @@
 from bluebellsill.quarantine import Quarantine
 from bluebellsill.reactor import Reactor
 from bluebellsill.readiness import Readiness
+from bluebellsill.reading_order import ReadingOrder
 from bluebellsill.resources import Service
 from bluebellsill.streams import Address
 from bluebellsill.target_side import TargetSide
 from bluebellsill.timers import TimerService
+from bluebellsill.view_age import ViewAge
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -50,6 +53,7 @@
 
 _LOG_FLUSH_PERIOD = 0.1  # seconds between attempts to write log lines left over
 _STATE_LOG_PERIOD = 5.0  # seconds between log lines with the gauges
+_MS_PER_SECOND = 1000
 _RANDOM_SEED_BYTES = 8  # bytes read from the operating system
 
 
@@ -167,13 +171,7 @@
             self._reactor,
             Address.parse(settings.store.address),
         )
-        self._feed_reader = FeedReader(
-            OperatorKeys(self._store),
-            self._state,
-            self._peers.members,
-            self._timers,
-            self._random,
-        )
+        self._feed_reader = self._build_feed_reader()
         self._readiness = Readiness(
             self._state,
             self._peers.members,
@@ -193,6 +191,32 @@
         )
         self._peers.server.on(CrashReport, self._crashes.on_report)
 
+    def _build_feed_reader(self) -> FeedReader:
+        members = self._peers.members
+        order = ReadingOrder(members, self._random)
+        self._view = ViewAge(self._clock)
+        confirmations = Confirmations(
+            self._peers.gossip,
+            members,
+            order,
+            self._state,
+            self._clock,
+            self._view,
+        )
+        self._peers.gossip_task.on_confirmation = lambda message: (
+            confirmations.on_message(message, self._reactor.polled_since)
+        )
+        return FeedReader(
+            OperatorKeys(self._store),
+            self._state,
+            members,
+            order,
+            confirmations,
+            self._view,
+            self._timers,
+            self._random,
+        )
+
     def _build_interfaces(self) -> None:
         settings = self._settings
         self._target_side = TargetSide(
@@ -239,6 +263,7 @@
             target_connections=lambda: self._runner.watch.opened_connections,
             revision=lambda: self._state.position.revision,
             epoch=lambda: self._state.position.epoch,
+            view_age_ms=lambda: round(self._view.seconds * _MS_PER_SECOND),
             log_lines_dropped=flush_logs,
         )
 
--- a/bluebellsill/messages.py
+++ b/bluebellsill/messages.py
@@ -10,6 +10,7 @@
 from bluebellsill.gossip_messages import (
     Ack,
     Applied,
+    Confirmation,
     Ping,
     PingRequest,
     Sync,
@@ -350,6 +351,7 @@
     | SyncRequest
     | Sync
     | Applied
+    | Confirmation
 )
 
 _encoder = msgpack.Encoder()
--- a/bluebellsill/operator_feed.py
+++ b/bluebellsill/operator_feed.py
@@ -19,6 +19,7 @@
     'FeedUpdate',
     'FeedSnapshot',
     'OperatorFeed',
+    'PendingWatch',
     'ZoneWritten',
 )
 
@@ -81,6 +82,17 @@
     is_position_lost: bool = False
 
 
+class PendingWatch(Protocol):
+    """A watch that has not been answered."""
+
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a part of the answer has arrived."""
+
+    def cancel(self) -> None:
+        """Give the watch up; its callback is not called."""
+
+
 class OperatorFeed(Protocol):
     """Reads the declarations of the operators."""
 
@@ -95,5 +107,15 @@
         position: StorePosition,
         wait: float,
         on_done: Callable[[Result[FeedUpdate, FeedFailure]], None],
-    ) -> None:
+    ) -> PendingWatch:
         """Wait up to ``wait`` seconds for changes after a position."""
+
+    def ping(
+        self,
+        on_done: Callable[[Result[int, FeedFailure]], None],
+    ) -> None:
+        """Check with a cheap call whether the store answers this node.
+
+        Args:
+            on_done: Called once with the epoch of the store, or the failure.
+        """
--- a/bluebellsill/platform/kv_store.py
+++ b/bluebellsill/platform/kv_store.py
@@ -24,7 +24,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from bluebellsill.http_exchange import HttpFailure
+    from bluebellsill.http_exchange import Exchange, HttpFailure
     from bluebellsill.reactor import Reactor
     from bluebellsill.streams import Address
 
@@ -46,7 +46,10 @@
 
 # Seconds. The store responds in 4 ms, and in 50 times that when it is slow.
 _CALL_TIMEOUT = 1.5
-_WATCH_MARGIN = 1.0  # seconds added to the wait of a watch
+# Shortest time in seconds that an answer may take beyond the wait of a watch.
+_MIN_MARGIN = 0.5
+_LATENCIES_PER_MARGIN = 2.5  # of the last call that was answered at once
+_NO_LEASE = 0  # an id that the store never gives out
 _MS_PER_SECOND = 1000
 _MAX_SHOWN_BYTES = 64  # of an invalid response, in the error message
 
@@ -184,6 +187,8 @@
         self.epoch = 0
         self._pool = HttpPool(reactor, address)
         self._host = str(address)
+        self._clock = reactor.timers.clock
+        self._latency: float = 0  # seconds that the last immediate call took
         self._log = get_logger('store')
 
     def range(
@@ -215,20 +220,44 @@
         revision: int,
         wait: float,
         on_done: Callable[[Result[ItemWatch, KvFailure]], None],
-    ) -> None:
-        """Wait up to ``wait`` seconds for the events after a revision."""
+    ) -> Exchange:
+        """Wait up to ``wait`` seconds for the events after a revision.
+
+        Returns:
+            The exchange, which can be cancelled.
+        """
         query = {
             'prefix': prefix,
             # A revision here, not a key as in a range request.
             'after': str(revision),
             'wait_ms': str(int(wait * _MS_PER_SECOND)),
         }
+        path = f'{WATCH_PATH}?{urlencode(query)}'
+        if not wait:
+            return self._call('GET', path, ItemWatch, self._timed(on_done))
+        timeout = wait + self._margin
+        return self._call('GET', path, ItemWatch, on_done, timeout=timeout)
+
+    def ping(self, on_done: Callable[[Result[None, KvFailure]], None]) -> None:
+        """Check whether the store answers this node.
+
+        The renewal of a lease that does not exist is the cheapest call that a
+        copy which has lost contact with the store cannot answer.
+        """
+
+        def on_answered(done: Result[_LeaseRenewal, KvFailure]) -> None:
+            failure = done.err()
+            if failure is None or failure.status == HTTPStatus.NOT_FOUND:
+                on_done(Ok(None))
+            else:
+                on_done(Err(failure))
+
         self._call(
-            'GET',
-            f'{WATCH_PATH}?{urlencode(query)}',
-            ItemWatch,
-            on_done,
-            timeout=wait + _WATCH_MARGIN,
+            'POST',
+            f'{KEEP_PREFIX}{_NO_LEASE}',
+            _LeaseRenewal,
+            self._timed(on_answered),
+            timeout=self._margin,
         )
 
     def write(
@@ -289,7 +318,7 @@
         on_done: Callable[[Result[AnswerType, KvFailure]], None],
         document: Any = None,
         timeout: float = _CALL_TIMEOUT,
-    ) -> None:
+    ) -> Exchange:
         self.calls += 1
         headers = [('host', self._host)]
         body = b''
@@ -299,16 +328,36 @@
 
         def on_response(done: Result[Response, HttpFailure]) -> None:
             answer = _decode(done, answer_type)
+            if isinstance(done, Err) and done.err_value.is_timeout:
+                self._pool.discard_idle()
             if isinstance(done, Ok) and self._is_stale(done.ok_value):
                 reason = f'late answer from before epoch {self.epoch}'
                 answer = Err(KvFailure(reason, may_have_run=True))
             on_done(answer)
 
         request = Request(method, path, headers, body)
-        self._pool.request(
+        return self._pool.request(
             request, timeout, on_response, stall_timeout=_CALL_TIMEOUT
         )
 
+    @property
+    def _margin(self) -> float:
+        """Seconds that the store may take to answer."""
+        expected = _LATENCIES_PER_MARGIN * self._latency
+        return min(_CALL_TIMEOUT, max(_MIN_MARGIN, expected))
+
+    def _timed(
+        self, on_done: Callable[[Result[AnswerType, KvFailure]], None]
+    ) -> Callable[[Result[AnswerType, KvFailure]], None]:
+        """Note how long a call takes that the store answers at once."""
+        sent_at = self._clock.now()
+
+        def on_timed(done: Result[AnswerType, KvFailure]) -> None:
+            self._latency = self._clock.now() - sent_at
+            on_done(done)
+
+        return on_timed
+
     def _is_stale(self, response: Response) -> bool:
         """Note the epoch of a response.
 
--- a/bluebellsill/platform/operator_keys.py
+++ b/bluebellsill/platform/operator_keys.py
@@ -21,6 +21,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from bluebellsill.operator_feed import PendingWatch
     from bluebellsill.platform.kv_store import (
         Item,
         ItemEvent,
@@ -56,7 +57,7 @@
         position: StorePosition,
         wait: float,
         on_done: Callable[[Result[FeedUpdate, FeedFailure]], None],
-    ) -> None:
+    ) -> PendingWatch:
         """Wait up to ``wait`` seconds for the changes after a position."""
 
         def on_watched(done: Result[ItemWatch, KvFailure]) -> None:
@@ -69,7 +70,19 @@
                 update = Err(FeedFailure(reason, is_position_lost=True))
             on_done(update)
 
-        self._store.watch(_PREFIX, position.revision, wait, on_watched)
+        return self._store.watch(_PREFIX, position.revision, wait, on_watched)
+
+    def ping(
+        self,
+        on_done: Callable[[Result[int, FeedFailure]], None],
+    ) -> None:
+        """Check whether the store answers; the result is its epoch."""
+
+        def on_answered(done: Result[None, KvFailure]) -> None:
+            epoch = self._store.epoch
+            on_done(done.map(lambda _: epoch).map_err(_failure))
+
+        self._store.ping(on_answered)
 
     def _read_page(
         self,
--- a/bluebellsill/reactor.py
+++ b/bluebellsill/reactor.py
@@ -46,6 +46,8 @@
         """Create a reactor that also runs ``timers``."""
         super().__init__()
         self.timers = timers
+        # The earliest time at which what is read now may have arrived.
+        self.polled_since = timers.clock.now()
         self._epoll = epoll()
         self._log = get_logger('reactor')
         self._sources_by_fd: dict[int, Source] = {}
@@ -74,6 +76,7 @@
     @handler('generate_events', priority=1)
     def _on_generate_events(self, event: generate_events) -> None:
         event.stop()
+        self.polled_since = self.timers.clock.now()
         ready = self._epoll.poll(self._wait_seconds(event.time_left))
         # Timers run first, so that a process that was paused detects the pause
         # before it handles the data that accumulated in its sockets.
--- a/tests/test_mesh_control.py
+++ b/tests/test_mesh_control.py
@@ -12,6 +12,7 @@
 from result import Err, Ok, Result
 
 from bluebellsill.clock import ManualClock
+from bluebellsill.confirmations import Confirmations
 from bluebellsill.discovery import Discovery
 from bluebellsill.feed_reader import FeedReader
 from bluebellsill.gossip_messages import Member
@@ -24,12 +25,14 @@
     FeedUpdate,
 )
 from bluebellsill.operator_state import OperatorState
+from bluebellsill.reading_order import ReadingOrder
 from bluebellsill.registration import ENTRIES_PER_ZONE
 from bluebellsill.rendezvous import rank
 from bluebellsill.replica_version import ReplicaVersion, StorePosition
 from bluebellsill.route_table import RouteTable
 from bluebellsill.routing_plan import RoutingPlan
 from bluebellsill.timers import TimerService
+from bluebellsill.view_age import ViewAge
 
 _STEP = 0.05  # seconds
 
@@ -43,6 +46,8 @@
 
     def __init__(self) -> None:
         self.reads: list[Callable[[Any], None]] = []
+        self.pings: list[Callable[[Any], None]] = []
+        self.cancelled = 0
         self.watches: list[
             tuple[StorePosition, float, Callable[[Any], None]]
         ] = []
@@ -55,8 +60,15 @@
         position: StorePosition,
         wait: float,
         on_done: Callable[[Any], None],
-    ) -> None:
+    ) -> Any:
         self.watches.append((position, wait, on_done))
+        return SimpleNamespace(is_receiving=False, cancel=self._on_cancelled)
+
+    def ping(self, on_done: Callable[[Any], None]) -> None:
+        self.pings.append(on_done)
+
+    def _on_cancelled(self) -> None:
+        self.cancelled += 1
 
 
 class _Harness:
@@ -71,8 +83,29 @@
             lambda payload: Ok(RoutingPlan(int(payload), RouteTable([]))),
         )
         self.feed = _FakeFeed()
+        self.order = ReadingOrder(self.members, Random(1))
+        self.view = ViewAge(self.clock)
+        self.sent: list[str] = []
+        sender = SimpleNamespace(
+            send=lambda address, _message: self.sent.append(address)
+        )
+        self.confirmations = Confirmations(
+            sender,
+            self.members,
+            self.order,
+            self.state,
+            self.clock,
+            self.view,
+        )
         self.reader = FeedReader(
-            self.feed, self.state, self.members, self.timers, Random(1)
+            self.feed,
+            self.state,
+            self.members,
+            self.order,
+            self.confirmations,
+            self.view,
+            self.timers,
+            Random(1),
         )
 
     def add_member(self, other: str, zone: str = 'a', **fields: Any) -> None:
@@ -143,12 +176,12 @@
     harness.reader.start(immediate=True)
     harness.feed.reads[0](Ok(FeedSnapshot(_at(7), b'3', frozenset())))
     harness.add_member(ids[0])
-    assert harness.reader.is_reader
+    assert harness.order.is_reader
     for index in range(2):
         harness.feed.watches[index][2](Err(FeedFailure('refused')))
         harness.advance(1)
     assert harness.members.own.is_store_lost
-    assert not harness.reader.is_reader
+    assert not harness.order.is_reader
     harness.advance(6)
     assert not harness.members.own.is_store_lost
 
@@ -230,7 +263,7 @@
             if other != own:
                 harness.add_member(other)
         harness.add_member('10.1.0.1:1', 'b')
-        readers += harness.reader.is_reader
+        readers += harness.order.is_reader
     assert readers == 1
 
 
