Start the rotation of a split route without stepping up to it

Change: a random state in which each part has had its share, rounded up or down at random, and a bounded number of steps from there (at most 512 for two parts, 256 for four). Credits are integers, as sums of large weights are not exact in a float.

Shares of a node are off by less than one request for two parts, as before; over 60 starts and 200 requests their mean square is within a tenth of the stepwise rotation's for all splits tried. The first, second and third requests of 4,000 nodes are spread by weight, within four standard deviations.

--- a/bluebellsill/weighted_round_robin.py
+++ b/bluebellsill/weighted_round_robin.py
@@ -13,20 +13,24 @@
 
 _Key = tuple[str, tuple[WeightedService, ...]]
 
+# Work for the random start of a rotation, in steps times parts.
+_MAX_START_WORK = 1024
+_MIN_START_STEPS = 16
+
 
 class WeightedRoundRobin:
     """Selects the parts of each route by smooth weighted round robin.
 
     In any sequence of requests each part gets its share, off by one request
-    at most. Each node starts at a random point of the rotation, so that
-    many nodes with few requests each do not all begin with the part of the
-    highest weight.
+    at most if there are two, and hardly more if there are several. Each node
+    starts at a random point of the rotation, so that many nodes with few
+    requests each do not all begin with the part of the highest weight.
     """
 
     def __init__(self, random: Random) -> None:
         """Create rotations that start at points drawn from ``random``."""
         self._random = random
-        self._credit_by_route: dict[_Key, list[float]] = {}
+        self._credit_by_route: dict[_Key, list[int]] = {}
 
     def next(self, route: Route) -> str:
         """Return the service for the next request of a route."""
@@ -36,15 +40,45 @@
         key = (route.name, parts)
         credit = self._credit_by_route.get(key)
         if credit is None:
-            credit = [float() for _ in parts]
+            credit = self._start(parts)
             self._credit_by_route[key] = credit
-            total = sum(part.weight for part in parts)
-            for _ in range(self._random.randrange(total)):
-                self._select_next(parts, credit)
         return parts[self._select_next(parts, credit)].service
 
+    def _start(self, parts: tuple[WeightedService, ...]) -> list[int]:
+        """Return the credits at a random point of the rotation.
+
+        The point is not reached step by step: weights may be as large as
+        operators like. It is a random number of steps after a random state in
+        which each part has had its share, rounded up or down at random.
+        """
+        credit = self._random_credit(parts)
+        most = max(_MIN_START_STEPS, _MAX_START_WORK // len(parts))
+        for _ in range(self._random.randrange(most)):
+            self._select_next(parts, credit)
+        return credit
+
+    def _random_credit(self, parts: tuple[WeightedService, ...]) -> list[int]:
+        """Return what is due to each part at a random number of requests.
+
+        Whose fraction of a request is rounded up is chosen by systematic
+        sampling, so that the credits add up to zero and each is zero on average.
+        """
+        total = sum(part.weight for part in parts)
+        requests = self._random.randrange(total)
+        order = list(range(len(parts)))
+        self._random.shuffle(order)
+        credit = [0 for _ in parts]
+        position = self._random.randrange(total)
+        for index in order:
+            fraction = requests * parts[index].weight % total
+            position += fraction
+            is_rounded_up = position >= total
+            position -= total * is_rounded_up
+            credit[index] = fraction - total * is_rounded_up
+        return credit
+
     def _select_next(
-        self, parts: tuple[WeightedService, ...], credit: list[float]
+        self, parts: tuple[WeightedService, ...], credit: list[int]
     ) -> int:
         weights = [part.weight for part in parts]
         for index, weight in enumerate(weights):
