Forget the rotations of split routes that are no longer in force

Cause: a rotation is kept for each route and its weights, for good, so memory grew with each version that changes weights: 0.9 MB after 1,500 of them.

Change: when a version is in force, only the rotations of its split routes stay; those whose weights are the same go on where they were.

Test: memory over 2,000 versions, failed before (934,438 bytes kept, 100,000 allowed).

--- a/bluebellsill/platform/routing_document.py
+++ b/bluebellsill/platform/routing_document.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from functools import partial
-from typing import Annotated
+from typing import TYPE_CHECKING, Annotated
 
 from msgspec import Meta, Struct
 from result import Err, Ok, Result
@@ -11,10 +11,13 @@
 from bluebellsill.decoding import decode_json
 from bluebellsill.http_server import RequestLimits
 from bluebellsill.resources import Service
-from bluebellsill.route import Route, WeightedService
+from bluebellsill.route import Route, Split, WeightedService
 from bluebellsill.route_table import RouteTable
 from bluebellsill.routing_plan import RoutingPlan
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
 __all__ = ('HOSTS_FIELD', 'RULES_FIELD', 'decode_plan')
 
 HOSTS_FIELD = 'virtual_hosts'
@@ -161,6 +164,7 @@
                     for host, prefix, rule in rules
                 ),
                 {name for one in rules for name in one[2].service_names()},
+                _splits(rule for _, _, rule in rules),
             ),
             {entry.name: _service(entry) for entry in document.services},
             _limits(document.limits),
@@ -168,6 +172,12 @@
     )
 
 
+def _splits(rules: Iterable[_PathRule]) -> Iterator[Split]:
+    for rule in rules:
+        if rule.weighted_services and not rule.service:
+            yield rule.name, rule.route_services()
+
+
 def _route(rule: _PathRule) -> Route:
     return Route(
         rule.name,
--- a/bluebellsill/route.py
+++ b/bluebellsill/route.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-__all__ = ('WeightedService', 'Route')
+__all__ = ('Route', 'Split', 'WeightedService')
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,6 +20,10 @@
     weight: int = 1
 
 
+# A route's name and the services that its requests are split over.
+Split = tuple[str, tuple[WeightedService, ...]]
+
+
 @dataclass(frozen=True, slots=True)
 class Route:
     """A validated rule for requests.
--- a/bluebellsill/route_interface.py
+++ b/bluebellsill/route_interface.py
@@ -115,6 +115,7 @@
             DeadlineFilter(clock.now, names.deadline),
             QuarantineFilter(quarantine, clock.now),
         )
+        state.subscribe(lambda: _retain_splits(state, round_robin))
         self._names = names
         self._own_service = own_service
         self._clock = clock
@@ -167,3 +168,10 @@
             seconds = retry_after(problem, remaining)
             response.headers.append(('retry-after', f'{seconds:.3f}'))
         return response
+
+
+def _retain_splits(
+    state: OperatorState, round_robin: WeightedRoundRobin
+) -> None:
+    if state.plan is not None:
+        round_robin.retain(state.plan.table.splits)
--- a/bluebellsill/route_table.py
+++ b/bluebellsill/route_table.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable, Iterable
 
-from bluebellsill.route import Route
+from bluebellsill.route import Route, Split
 
 __all__ = ('RouteTable',)
 
@@ -20,12 +20,14 @@
 
     Attributes:
         services: The names of all services that routes lead to.
+        splits: The routes whose requests go to several services.
     """
 
     def __init__(
         self,
         routes: Iterable[tuple[str, str, _RouteFactory]],
         services: Iterable[str] = (),
+        splits: Iterable[Split] = (),
     ) -> None:
         """Create a table.
 
@@ -33,8 +35,10 @@
             routes: Host name and path prefix of each rule, and a function that
                 creates its route.
             services: The names of all services that the routes lead to.
+            splits: The routes whose requests go to several services.
         """
         self.services = frozenset(services)
+        self.splits = frozenset(splits)
         self._by_host: dict[str, dict[str, _RouteFactory]] = {}
         self._created: dict[tuple[str, str], Route] = {}
         for host, prefix, create in routes:
--- a/bluebellsill/weighted_round_robin.py
+++ b/bluebellsill/weighted_round_robin.py
@@ -4,15 +4,14 @@
 
 from typing import TYPE_CHECKING
 
-from bluebellsill.route import Route, WeightedService
+from bluebellsill.route import Route, Split, WeightedService
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     from random import Random
 
 __all__ = ('WeightedRoundRobin',)
 
-_Key = tuple[str, tuple[WeightedService, ...]]
-
 # Work for the random start of a rotation, in steps times parts.
 _MAX_START_WORK = 1024
 _MIN_START_STEPS = 16
@@ -30,20 +29,32 @@
     def __init__(self, random: Random) -> None:
         """Create rotations that start at points drawn from ``random``."""
         self._random = random
-        self._credit_by_route: dict[_Key, list[int]] = {}
+        self._credit_by_split: dict[Split, list[int]] = {}
 
     def next(self, route: Route) -> str:
         """Return the service for the next request of a route."""
         parts = route.weighted_services
         if len(parts) == 1:
             return parts[0].service
-        key = (route.name, parts)
-        credit = self._credit_by_route.get(key)
+        split = (route.name, parts)
+        credit = self._credit_by_split.get(split)
         if credit is None:
             credit = self._start(parts)
-            self._credit_by_route[key] = credit
+            self._credit_by_split[split] = credit
         return parts[self._select_next(parts, credit)].service
 
+    def retain(self, splits: Collection[Split]) -> None:
+        """Forget the rotations of all other routes.
+
+        Args:
+            splits: The split routes that are in force.
+        """
+        self._credit_by_split = {
+            split: credit
+            for split, credit in self._credit_by_split.items()
+            if split in splits
+        }
+
     def _start(self, parts: tuple[WeightedService, ...]) -> list[int]:
         """Return the credits at a random point of the rotation.
 
--- /dev/null
+++ b/tests/test_outside_numbers.py
@@ -0,0 +1,108 @@
+"""Neither time nor memory grows with what operators, targets or callers state.
+
+Neither with the size of a number, nor with how many versions came.
+"""
+
+from __future__ import annotations
+
+import json
+import tracemalloc
+from collections.abc import Callable
+from random import Random
+from types import SimpleNamespace
+from typing import Any
+
+from bluebellsill.clock import ManualClock
+from bluebellsill.http import Request
+from bluebellsill.operator_feed import FeedSnapshot
+from bluebellsill.operator_state import OperatorState
+from bluebellsill.platform.headers import CALLER_HEADERS
+from bluebellsill.platform.routing_document import decode_plan
+from bluebellsill.quarantine import Quarantine
+from bluebellsill.replica_version import StorePosition
+from bluebellsill.route_interface import RouteInterface
+from bluebellsill.weighted_round_robin import WeightedRoundRobin
+from tests.path_rules import path_rule
+
+_VERSIONS = 2000
+
+
+def _growth(act: Callable[[int], object], times: int = _VERSIONS) -> int:
+    """Return the bytes that are kept after an act is done many times."""
+    for number in range(times // 4):
+        act(number)
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    for number in range(times // 4, times):
+        act(number)
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return after - before
+
+
+class _Caller:
+    """A node's routes, declared anew and used by one request each time."""
+
+    def __init__(self) -> None:
+        self._state = OperatorState(decode_plan)
+        self._interface = RouteInterface(
+            CALLER_HEADERS,
+            'shop',
+            self._state,
+            WeightedRoundRobin(Random(1)),
+            Quarantine(),
+            ManualClock(),
+            Random(1),
+        )
+
+    def declare(self, number: int, rules: list[dict[str, Any]]) -> None:
+        """Put the next version in force."""
+        document = {
+            'version': f'r{number + 1}',
+            'virtual_hosts': [{'hostname': 'a.example', 'path_rules': rules}],
+        }
+        snapshot = FeedSnapshot(
+            StorePosition(1, number + 1),
+            json.dumps(document).encode(),
+            frozenset(),
+        )
+        self._state.apply_snapshot(snapshot, 'store')
+
+    def request(self, path: str) -> str:
+        """Return the service that a request is sent to."""
+        request = Request('GET', path, [('host', 'a.example')])
+        inbound: Any = SimpleNamespace(request=request, caller='')
+        self._interface.filters[0].apply(inbound).unwrap()
+        return str(inbound.service_name)
+
+
+def test_memory_does_not_grow_with_the_versions_of_a_split_route() -> None:
+    """The rotations of all weights that ever were in force were kept."""
+    caller = _Caller()
+
+    def change(number: int) -> None:
+        parts = [
+            {'service': 'shop', 'weight': number + 1},
+            {'service': 'pay', 'weight': 3},
+        ]
+        rule = path_rule('/x/', weighted_services=parts, service=None)
+        caller.declare(number, [rule])
+        caller.request('/x/1')
+
+    assert _growth(change) < 100_000
+
+
+def test_rotation_goes_on_when_another_route_changes() -> None:
+    parts = [
+        {'service': 'shop', 'weight': 1},
+        {'service': 'pay', 'weight': 1},
+    ]
+    split = path_rule('/x/', weighted_services=parts, service=None)
+    caller = _Caller()
+    chosen = []
+    for number in range(40):
+        caller.declare(number, [split, path_rule(f'/y{number}/')])
+        chosen.append(caller.request('/x/1'))
+    assert chosen[::2] == [chosen[0]] * 20
+    assert chosen[1::2] == [chosen[1]] * 20
+    assert chosen[0] != chosen[1]
