Take no longer for calls at a target that states many slots

Cause: the gate kept a list as long as the slots that a target states (in a report up to 100,000, in a load header up to 18 digits) and looked at all of them for each call; the expected wait was computed from a list of all requests that the target says it runs.

Change: only concurrencies that occurred are kept, and no more free slots are looked at than calls wait. A load header with a number above 1,000,000 is not read, as a report with more than 100,000 slots is not.

Without such numbers the limit and the wait are the same as before (test_concurrency, test_slot_gate).

--- a/bluebellsill/concurrency.py
+++ b/bluebellsill/concurrency.py
@@ -22,14 +22,22 @@
     def __init__(self, slots: int) -> None:
         """Assume a target whose service times do not grow with concurrency."""
         self.slots = slots
-        self._ratios = [1.0 for _ in range(slots)]
-        self._answers = [0 for _ in range(slots)]
+        # Only for concurrencies that occurred: a target may state any number of
+        # slots.
+        self._ratios: dict[int, float] = {}
+        self._answers: dict[int, int] = {}
 
     @property
     def best_concurrency(self) -> int:
         """The number of concurrent requests with the most answers a second."""
+        # Without enough answers the ratio is assumed to be 1, so of all such
+        # concurrencies the highest one is the best.
+        highest = self.slots
+        while highest > 1 and self._is_known(highest):
+            highest -= 1
+        known = [one for one in self._ratios if self._is_known(one)]
         return max(
-            range(1, self.slots + 1),
+            (highest, *known),
             key=lambda concurrency: (
                 concurrency / self._ratio(concurrency),
                 concurrency,
@@ -49,12 +57,16 @@
         """
         if concurrency > self.slots or self.is_reference(concurrency):
             return
-        index = concurrency - 1
-        self._answers[index] += 1
-        weight = max(_MIN_WEIGHT, 1 / self._answers[index])
-        self._ratios[index] += weight * (ratio - self._ratios[index])
+        answers = self._answers.get(concurrency, 0) + 1
+        self._answers[concurrency] = answers
+        weight = max(_MIN_WEIGHT, 1 / answers)
+        known = self._ratios.get(concurrency, 1)
+        self._ratios[concurrency] = known + weight * (ratio - known)
+
+    def _is_known(self, concurrency: int) -> bool:
+        return self._answers.get(concurrency, 0) >= _MIN_ANSWERS
 
     def _ratio(self, concurrency: int) -> float:
-        if self._answers[concurrency - 1] < _MIN_ANSWERS:
+        if not self._is_known(concurrency):
             return 1.0
-        return max(1.0, self._ratios[concurrency - 1])
+        return max(1.0, self._ratios[concurrency])
--- a/bluebellsill/platform/target_dialect.py
+++ b/bluebellsill/platform/target_dialect.py
@@ -39,6 +39,7 @@
 _LOAD_FIELDS = 4  # running, queued, slots, slowness
 _SLOTS_INDEX = 2  # in the load header
 _SLOWNESS_INDEX = 3  # in the load header
+_MAX_LOAD_NUMBER = 1_000_000  # a larger one in the load header is corrupt
 _LEAVING_VALUE = '1'
 _NO_LOAD = [0 for _ in range(_LOAD_FIELDS)]
 
@@ -125,5 +126,9 @@
     """
     fields = response.header(LOAD).split(',')
     parsed = [parse_whole_number(field) for field in fields]
-    numbers = [number for number in parsed if number is not None]
+    numbers = [
+        number
+        for number in parsed
+        if number is not None and number <= _MAX_LOAD_NUMBER
+    ]
     return numbers if len(numbers) == len(parsed) == _LOAD_FIELDS else _NO_LOAD
--- a/bluebellsill/slot_gate.py
+++ b/bluebellsill/slot_gate.py
@@ -183,13 +183,7 @@
 
     def expected_wait(self, ticket: Ticket, now: float) -> float:
         """Return the expected seconds until a call could start."""
-        free_in = [float() for _ in range(self.limit - self.occupied)]
-        free_in += [_DEFAULT_SERVICE_TIME for _ in range(self.untracked)]
-        free_in += [
-            _remaining_time(running, self._usual_service_time(running), now)
-            for running in self._running
-        ]
-        heapify(free_in)
+        free_in = self._slots_free_in(now)
         own_order = _queue_order(ticket, self._service_time(ticket), now)
         delay = self.slowness.expected_start_delay
         ahead = 0
@@ -250,6 +244,24 @@
         if slots != self._concurrency.slots:
             self._concurrency = ConcurrencyEstimator(max(1, slots))
 
+    def _slots_free_in(self, now: float) -> list[float]:
+        """Return a heap of the seconds until slots are free.
+
+        Each waiting call takes one at most, so no more are listed, whatever
+        number the target states.
+        """
+        most = len(self._queue) + 1
+        free = min(most, self.limit - self.occupied)
+        untracked = min(most, self.untracked)
+        free_in = [float() for _ in range(free)]
+        free_in += [_DEFAULT_SERVICE_TIME for _ in range(untracked)]
+        free_in += [
+            _remaining_time(running, self._usual_service_time(running), now)
+            for running in self._running
+        ]
+        heapify(free_in)
+        return free_in
+
     def _can_start_in_time(self, ticket: Ticket, now: float) -> bool:
         starts_at = now + self.expected_wait(ticket, now)
         if self._rate_limiter.wait(now):
--- a/tests/test_outside_numbers.py
+++ b/tests/test_outside_numbers.py
@@ -9,22 +9,28 @@
 import tracemalloc
 from collections.abc import Callable
 from random import Random
+from time import process_time
 from types import SimpleNamespace
 from typing import Any
 
+from bluebellsill.admission import Decision, Ticket
 from bluebellsill.clock import ManualClock
-from bluebellsill.http import Request
+from bluebellsill.http import Request, Response
 from bluebellsill.operator_feed import FeedSnapshot
 from bluebellsill.operator_state import OperatorState
-from bluebellsill.platform.headers import CALLER_HEADERS
+from bluebellsill.platform.headers import CALLER_HEADERS, LOAD
 from bluebellsill.platform.routing_document import decode_plan
+from bluebellsill.platform.target_dialect import PlatformDialect
 from bluebellsill.quarantine import Quarantine
 from bluebellsill.replica_version import StorePosition
 from bluebellsill.route_interface import RouteInterface
+from bluebellsill.slot_gate import SlotGate
 from bluebellsill.weighted_round_robin import WeightedRoundRobin
 from tests.path_rules import path_rule
 
 _VERSIONS = 2000
+_HUGE = 10_000_000
+_MAX_SECONDS = 0.1  # of processor time
 
 
 def _growth(act: Callable[[int], object], times: int = _VERSIONS) -> int:
@@ -106,3 +112,38 @@
     assert chosen[::2] == [chosen[0]] * 20
     assert chosen[1::2] == [chosen[1]] * 20
     assert chosen[0] != chosen[1]
+
+
+def test_calls_take_no_longer_at_a_target_that_states_many_slots() -> None:
+    """Each offer looked at every slot, and a resize made a list of them."""
+    began = process_time()
+    gate = SlotGate()
+    gate.resize(_HUGE)
+    gate.on_slowness(1, 0)
+    for _ in range(20):
+        assert gate.offer(Ticket(1, 100), 0)[0] is Decision.RUN
+    gate.on_load(20)
+    gate.expected_wait(Ticket(1, 100), 0)
+    assert process_time() - began < _MAX_SECONDS
+
+
+def test_calls_take_no_longer_at_a_target_that_states_many_requests() -> None:
+    """The wait was computed from a list of all that the target said it runs."""
+    gate = SlotGate()
+    gate.resize(6)
+    gate.on_slowness(1, 0)
+    gate.on_load(_HUGE)
+    began = process_time()
+    ticket = Ticket(1, 100)
+    gate.offer(ticket, 0)
+    assert gate.expected_wait(ticket, 0) > 0
+    assert process_time() - began < _MAX_SECONDS
+
+
+def test_load_header_with_a_corrupt_number_is_not_read() -> None:
+    dialect = PlatformDialect()
+    for text in ('1,0,1000000000,100', '1000000000000,0,6,100'):
+        response = Response(200, [(LOAD, text)])
+        assert dialect.load(response) is None
+        assert dialect.health(response).slots == 0
+    assert dialect.load(Response(200, [(LOAD, '3,1,6,100')])) == 4
