Remove cancelled timers before they would have been due

Cause: a cancelled timer stayed in the heap until it was due. Each call has timers as long as its route's timeout or its caller's deadline, and is mostly answered after milliseconds, so memory grew with the timeout that operators state (up to 31 years).

Change: once more than half of the timers, and 256, are cancelled, they are removed.

--- a/bluebellsill/timers.py
+++ b/bluebellsill/timers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 from itertools import count
 from typing import TYPE_CHECKING
 
@@ -13,26 +13,34 @@
 
 __all__ = ('Timer', 'TimerService')
 
+# Cancelled timers that are kept at least before they are removed, so that
+# the removal costs little for each of them.
+_MIN_CANCELLED = 256
+
 
 class Timer:
     """A scheduled callback, which can be cancelled."""
 
-    __slots__ = ('callback', 'due', 'period')
+    __slots__ = ('_on_cancelled', 'callback', 'due', 'period')
 
     def __init__(
         self,
         due: float,
         callback: Callable[[], None],
         period: float | None,
+        on_cancelled: Callable[[], None],
     ) -> None:
         """Create a timer that is due at ``due`` on the service's clock."""
+        self._on_cancelled = on_cancelled
         self.due = due
         self.period = period
         self.callback: Callable[[], None] | None = callback
 
     def cancel(self) -> None:
         """Cancel the callback; idempotent."""
-        self.callback = None
+        if self.callback is not None:
+            self.callback = None
+            self._on_cancelled()
 
 
 class TimerService:
@@ -42,6 +50,7 @@
         """Create a service without timers."""
         self.clock = clock
         self._sequence = count()
+        self._cancelled = 0  # timers in the heap, at most
         self._heap: list[tuple[float, int, Timer]] = []
 
     def after(self, seconds: float, callback: Callable[[], None]) -> Timer:
@@ -54,7 +63,8 @@
         Returns:
             The timer, which can be cancelled.
         """
-        return self._push(Timer(self.clock.now() + seconds, callback, None))
+        due = self.clock.now() + seconds
+        return self._push(Timer(due, callback, None, self._on_cancelled))
 
     def every(self, seconds: float, callback: Callable[[], None]) -> Timer:
         """Run a callback periodically, the first time after one period.
@@ -67,7 +77,7 @@
             The timer, which can be cancelled.
         """
         due = self.clock.now() + seconds
-        return self._push(Timer(due, callback, seconds))
+        return self._push(Timer(due, callback, seconds, self._on_cancelled))
 
     def run_due(self) -> None:
         """Run every callback that is due."""
@@ -77,7 +87,10 @@
             callback = timer.callback
             if callback is None:
                 continue
-            if timer.period is not None:
+            if timer.period is None:
+                # It is not in the heap if it is cancelled after it has run.
+                timer.callback = None
+            else:
                 # The next period starts now: missed runs are not made up for.
                 timer.due = now + timer.period
                 self._push(timer)
@@ -91,6 +104,19 @@
             return None
         return max(0, self._heap[0][0] - self.clock.now())
 
+    def _on_cancelled(self) -> None:
+        """Remove the cancelled timers once they are the most.
+
+        They are due when callers or operators say: a timeout may be long, and
+        most are cancelled after milliseconds.
+        """
+        self._cancelled += 1
+        is_worthwhile = 2 * self._cancelled > len(self._heap)
+        if self._cancelled >= _MIN_CANCELLED and is_worthwhile:
+            self._heap = [one for one in self._heap if one[2].callback]
+            heapify(self._heap)
+            self._cancelled = 0
+
     def _push(self, timer: Timer) -> Timer:
         heappush(self._heap, (timer.due, next(self._sequence), timer))
         return timer
--- a/tests/test_outside_numbers.py
+++ b/tests/test_outside_numbers.py
@@ -25,6 +25,7 @@
 from bluebellsill.replica_version import StorePosition
 from bluebellsill.route_interface import RouteInterface
 from bluebellsill.slot_gate import SlotGate
+from bluebellsill.timers import TimerService
 from bluebellsill.weighted_round_robin import WeightedRoundRobin
 from tests.path_rules import path_rule
 
@@ -147,3 +148,35 @@
         assert dialect.load(response) is None
         assert dialect.health(response).slots == 0
     assert dialect.load(Response(200, [(LOAD, '3,1,6,100')])) == 4
+
+
+def test_memory_does_not_grow_with_the_length_of_cancelled_timeouts() -> None:
+    """Each answered call left its timer behind until it would have been due."""
+    timers = TimerService(ManualClock())
+    periodic: list[float] = []
+    timers.every(1, lambda: periodic.append(timers.clock.now()))
+
+    def call(number: int) -> None:
+        timers.after(1e9, lambda: None).cancel()
+
+    assert _growth(call, 20_000) < 100_000
+
+
+def test_timers_that_are_not_cancelled_run_when_due() -> None:
+    clock = ManualClock()
+    timers = TimerService(clock)
+    ran: list[int] = []
+    kept = []
+    for number in range(3000):
+        timer = timers.after(
+            1 + number % 7, lambda number=number: ran.append(number)
+        )
+        if number % 5:
+            timer.cancel()
+            timer.cancel()
+        else:
+            kept.append(number)
+    for _ in range(8):
+        clock.advance(1)
+        timers.run_due()
+    assert sorted(ran) == kept
