Match the path of a request by the lengths of the prefixes

Cause: each part of a path up to a slash was copied and looked up, so the time grew with the square of the path's length, which operators limit and callers choose.

Change: only parts as long as some prefix of the host are looked up.

--- a/bluebellsill/route_table.py
+++ b/bluebellsill/route_table.py
@@ -43,6 +43,11 @@
         self._created: dict[tuple[str, str], Route] = {}
         for host, prefix, create in routes:
             self._by_host.setdefault(host.lower(), {})[prefix] = create
+        # The lengths of the prefixes of each host, the longest first.
+        self._lengths_by_host = {
+            name: sorted({len(one) for one in by_prefix}, reverse=True)
+            for name, by_prefix in self._by_host.items()
+        }
 
     def __len__(self) -> int:
         """Return the number of routes."""
@@ -60,13 +65,12 @@
         if by_prefix is None:
             return None
         path = target.partition('?')[0]
-        # Prefixes end with a slash, so only such parts of the path can match.
-        end = path.rfind('/') + 1
-        while end > 0:
-            prefix = path[:end]
-            if prefix in by_prefix:
+        # A path may have thousands of slashes; only parts of it that are as long
+        # as a prefix are looked up.
+        for length in self._lengths_by_host[name]:
+            prefix = path[:length]
+            if len(prefix) == length and prefix in by_prefix:
                 return self._route(name, prefix)
-            end = path.rfind('/', 0, end - 1) + 1
         return None
 
     def _route(self, host: str, prefix: str) -> Route:
--- a/tests/test_outside_numbers.py
+++ b/tests/test_outside_numbers.py
@@ -23,7 +23,9 @@
 from bluebellsill.platform.target_dialect import PlatformDialect
 from bluebellsill.quarantine import Quarantine
 from bluebellsill.replica_version import StorePosition
+from bluebellsill.route import Route
 from bluebellsill.route_interface import RouteInterface
+from bluebellsill.route_table import RouteTable
 from bluebellsill.slot_gate import SlotGate
 from bluebellsill.timers import TimerService
 from bluebellsill.weighted_round_robin import WeightedRoundRobin
@@ -180,3 +182,15 @@
         clock.advance(1)
         timers.run_due()
     assert sorted(ran) == kept
+
+
+def test_path_of_many_slashes_is_matched_at_once() -> None:
+    """Each part of the path up to a slash was looked up."""
+    route = Route('r', ())
+    table = RouteTable([('a.example', '/x/', lambda: route)])
+    path = '/' * 64_000
+    began = process_time()
+    for _ in range(10):
+        assert table.match('a.example', path) is None
+    assert table.match('a.example', f'/x/{path}') is route
+    assert process_time() - began < _MAX_SECONDS
