Bound the histograms and routers of services that come and go

Cause: each service and each route that was ever called kept a histogram of 22 KB, and each service its router, so memory grew with the versions of the configuration: 68 MB after 1,500 further names, a fifth of what a node has.

Change: the 256 services and 256 classes used last have a histogram, 4,096 services a router. A dropped histogram is used again for the new name.

--- a/bluebellsill/metrics.py
+++ b/bluebellsill/metrics.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import Counter, defaultdict
+from collections import Counter, OrderedDict, defaultdict
 from typing import TYPE_CHECKING, Any
 
 from hdrh.histogram import HdrHistogram
@@ -17,6 +17,9 @@
 _MIN_LATENCY = 1  # microseconds; the lowest value of a histogram
 _MAX_LATENCY = 120_000_000  # microseconds; higher values are recorded as this
 _SIGNIFICANT_DIGITS = 2  # of a latency; a precision of 1% suffices
+# Services and classes that have a histogram, of 22 KB each. They come and go with
+# the versions of the configuration.
+_MAX_NAMES = 256
 _MAX_TENANTS = 64  # with their own histogram; further tenants share one
 _OTHER_TENANTS = 'other'
 _MICROSECONDS_PER_SECOND = 1000000
@@ -43,6 +46,10 @@
         )
         self._histogram.record_value(min(microseconds, _MAX_LATENCY))
 
+    def reset(self) -> None:
+        """Forget all latencies."""
+        self._histogram.reset()
+
     def summary(self) -> dict[str, float]:
         """Return the count, and percentiles and maximum in milliseconds."""
         summary: dict[str, float] = {
@@ -54,6 +61,26 @@
         return summary
 
 
+class _RecentHistograms(OrderedDict[str, LatencyHistogram]):
+    """The histograms that were used last, by name."""
+
+    def of(self, name: str) -> LatencyHistogram:
+        """Return the histogram of a name; drop the one not used for longest."""
+        histogram = self.get(name)
+        if histogram is not None:
+            self.move_to_end(name)
+            return histogram
+        if len(self) < _MAX_NAMES:
+            histogram = LatencyHistogram()
+        else:
+            # Dropped histograms would stay in memory until the next collection
+            # of reference cycles.
+            _, histogram = self.popitem(last=False)
+            histogram.reset()
+        self[name] = histogram
+        return histogram
+
+
 class Metrics:
     """The counters, gauges and latency histograms of one node."""
 
@@ -61,12 +88,8 @@
         """Create empty metrics."""
         self.counts: Counter[str] = Counter()
         self.gauges: dict[str, Callable[[], float]] = {}
-        self._by_service: dict[str, LatencyHistogram] = defaultdict(
-            LatencyHistogram
-        )
-        self._by_class: dict[str, LatencyHistogram] = defaultdict(
-            LatencyHistogram
-        )
+        self._by_service = _RecentHistograms()
+        self._by_class = _RecentHistograms()
         self._by_tenant: dict[str, LatencyHistogram] = defaultdict(
             LatencyHistogram
         )
@@ -79,9 +102,9 @@
         seconds: float,
     ) -> None:
         """Record the latency of one answered call."""
-        self._by_service[service].record(seconds)
+        self._by_service.of(service).record(seconds)
         if request_class != DEFAULT_CLASS:
-            self._by_class[f'{service}/{request_class}'].record(seconds)
+            self._by_class.of(f'{service}/{request_class}').record(seconds)
         if tenant not in self._by_tenant and (
             len(self._by_tenant) >= _MAX_TENANTS
         ):
--- a/bluebellsill/router_registry.py
+++ b/bluebellsill/router_registry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from typing import TYPE_CHECKING, Protocol
 
 from bluebellsill.membership import MemberState
@@ -17,6 +18,10 @@
 
 __all__ = ('OperatorExclusions', 'RouterRegistry', 'ServiceRouting')
 
+# Services whose routing state is kept; they come and go with the versions of the
+# configuration.
+_MAX_SERVICES = 4096
+
 
 class OperatorExclusions(Protocol):
     """The availability zones and targets that operators took out of service."""
@@ -63,7 +68,9 @@
         self._exclusions = exclusions
         self._make_policy = make_policy
         self._make_budget = make_budget
-        self._routing_by_service: dict[str, ServiceRouting] = {}
+        self._routing_by_service: OrderedDict[str, ServiceRouting] = (
+            OrderedDict()
+        )
         members.subscribe(self._on_member_changed)
         exclusions.subscribe(self._on_exclusions_changed)
 
@@ -75,6 +82,10 @@
             router = Router(own.id, own.zone, self._make_policy())
             routing = ServiceRouting(router, self._make_budget())
             self._routing_by_service[service] = routing
+            if len(self._routing_by_service) > _MAX_SERVICES:
+                self._routing_by_service.popitem(last=False)
+        else:
+            self._routing_by_service.move_to_end(service)
         if not routing.is_current:
             routing.router.update(self._available_targets(service))
             routing.is_current = True
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -77,3 +77,14 @@
     )
     completed = subprocess.run([sys.executable, '-c', code], timeout=30)
     assert completed.returncode == 0
+
+
+def test_histogram_of_a_new_service_has_nothing_of_a_dropped_one() -> None:
+    node_metrics = Metrics()
+    for number in range(300):
+        node_metrics.record(f'shop-{number}', 'default', 'club', 1)
+    node_metrics.record('shop-0', 'default', 'club', 0.01)
+    by_service = node_metrics.document()['by_service']
+    assert by_service['shop-0']['count'] == 1
+    assert by_service['shop-0']['max_ms'] < 20
+    assert by_service['shop-299']['count'] == 1
--- a/tests/test_outside_numbers.py
+++ b/tests/test_outside_numbers.py
@@ -14,8 +14,12 @@
 from typing import Any
 
 from bluebellsill.admission import Decision, Ticket
+from bluebellsill.balancing_policy import RoundRobin
 from bluebellsill.clock import ManualClock
+from bluebellsill.gossip_messages import Member
 from bluebellsill.http import Request, Response
+from bluebellsill.membership import Members
+from bluebellsill.metrics import Metrics
 from bluebellsill.operator_feed import FeedSnapshot
 from bluebellsill.operator_state import OperatorState
 from bluebellsill.platform.headers import CALLER_HEADERS, LOAD
@@ -23,9 +27,11 @@
 from bluebellsill.platform.target_dialect import PlatformDialect
 from bluebellsill.quarantine import Quarantine
 from bluebellsill.replica_version import StorePosition
+from bluebellsill.retries import RetryBudget
 from bluebellsill.route import Route
 from bluebellsill.route_interface import RouteInterface
 from bluebellsill.route_table import RouteTable
+from bluebellsill.router_registry import RouterRegistry
 from bluebellsill.slot_gate import SlotGate
 from bluebellsill.timers import TimerService
 from bluebellsill.weighted_round_robin import WeightedRoundRobin
@@ -38,9 +44,9 @@
 
 def _growth(act: Callable[[int], object], times: int = _VERSIONS) -> int:
     """Return the bytes that are kept after an act is done many times."""
+    tracemalloc.start()
     for number in range(times // 4):
         act(number)
-    tracemalloc.start()
     before, _ = tracemalloc.get_traced_memory()
     for number in range(times // 4, times):
         act(number)
@@ -194,3 +200,28 @@
         assert table.match('a.example', path) is None
     assert table.match('a.example', f'/x/{path}') is route
     assert process_time() - began < _MAX_SECONDS
+
+
+def test_memory_does_not_grow_with_the_names_of_routes_and_services() -> None:
+    """Each service and route that was ever used kept its histogram."""
+    metrics = Metrics()
+
+    def answer(number: int) -> None:
+        metrics.record(f'shop-{number}', f'r-{number}', 'club', 0.01)
+
+    assert _growth(answer) < 1_000_000
+    assert 'shop-1999' in metrics.document()['by_service']
+
+
+def test_memory_does_not_grow_with_the_services_that_were_called() -> None:
+    members = Members(Member('10.0.0.1:1', 1, 0, 1, 'a', 's'))
+    exclusions: Any = SimpleNamespace(subscribe=lambda listener: None)
+    registry = RouterRegistry(members, exclusions, RoundRobin, RetryBudget)
+    times = 20_000
+
+    def call(number: int) -> None:
+        registry.of_service(f'shop-{number}')
+
+    # As many as are kept are there when the measurement begins.
+    assert _growth(call, times) < 1_000_000
+    assert registry.of_service('shop-1') is registry.of_service('shop-1')
