Bound the exponent of every exponential backoff

Change: one function with a bounded exponent, used by all three.

Tests: 3,000 failures of a target, and a directory that is back after 1,100, failed before with OverflowError.

--- a/bluebellsill/discovery.py
+++ b/bluebellsill/discovery.py
@@ -6,6 +6,7 @@
 
 from result import Err, Result
 
+from bluebellsill.backoff import exponential_backoff
 from bluebellsill.logs import get_logger
 from bluebellsill.node_directory import DirectoryEntry
 from bluebellsill.registration import RegistrationPolicy
@@ -195,7 +196,9 @@
             reason=failure.reason,
             failures=self._failures,
         )
-        backoff = min(_MAX_BACKOFF, _ALONE_PERIOD * 2 ** (self._failures - 1))
+        backoff = exponential_backoff(
+            _ALONE_PERIOD, self._failures - 1, _MAX_BACKOFF
+        )
         self._schedule(backoff * self._random.uniform(0.5, 1))
 
     def _schedule_poll(self) -> None:
--- a/bluebellsill/feed_reader.py
+++ b/bluebellsill/feed_reader.py
@@ -6,6 +6,7 @@
 
 from result import Err, Result
 
+from bluebellsill.backoff import exponential_backoff
 from bluebellsill.logs import get_logger
 from bluebellsill.replica_version import NO_VERSION
 
@@ -42,7 +43,6 @@
 _MAX_UNVERIFIED = 2.7
 _MIN_BACKOFF = 0.2  # seconds
 _MAX_BACKOFF = 2.0  # seconds
-_MAX_DOUBLINGS = 4  # of the shortest backoff
 # Seconds between the calls of a node that stands by while nobody is answered.
 # It has to notice within 3 s that the store answers it again.
 _STANDBY_PERIOD = 2.4
@@ -381,7 +381,10 @@
         if self._state.position.revision and not self._was_reader:
             self._retry_at = sent_at + _standby_period(fraction)
         else:
-            self._retry_at = now + _backoff(self._failures, fraction)
+            longest = exponential_backoff(
+                _MIN_BACKOFF, self._failures, _MAX_BACKOFF
+            )
+            self._retry_at = now + longest * (1 + fraction) / 2
 
     def _clear_store_lost(self) -> None:
         if self._members.own.is_store_lost and not self._is_stopped:
@@ -392,11 +395,3 @@
     """Return the seconds between two calls of a node that stands by."""
     spread = 1 - _MIN_PERIOD_FRACTION
     return _STANDBY_PERIOD * (_MIN_PERIOD_FRACTION + spread * fraction)
-
-
-def _backoff(failures: int, fraction: float) -> float:
-    """Return the seconds that a reader waits after its last failure."""
-    # An exponent as large as the failures would make a number without end.
-    doublings = min(failures, _MAX_DOUBLINGS)
-    longest = min(_MAX_BACKOFF, _MIN_BACKOFF * (1 << doublings))
-    return longest * (1 + fraction) / 2
--- a/bluebellsill/target_view.py
+++ b/bluebellsill/target_view.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from math import exp
 
+from bluebellsill.backoff import exponential_backoff
+
 __all__ = ('TargetView',)
 
 # The time constant of the exponential decay of latencies and failure shares
@@ -212,9 +214,10 @@
 
     def on_failure(self, now: float) -> None:
         """Avoid the target for a time that doubles with each failure."""
-        seconds = min(
+        seconds = exponential_backoff(
+            _MIN_AVOIDANCE_SECONDS,
+            self.consecutive_failures,
             _MAX_AVOIDANCE_SECONDS,
-            _MIN_AVOIDANCE_SECONDS * 2**self.consecutive_failures,
         )
         self.consecutive_failures += 1
         self.avoided_until = now + seconds
--- a/tests/test_mesh_control.py
+++ b/tests/test_mesh_control.py
@@ -367,6 +367,27 @@
     assert directory.entries == [DirectoryEntry('10.0.0.1:1', 'a')]
 
 
+def test_directory_is_polled_after_thousands_of_failures() -> None:
+    """After 1,024 failures the time until the next poll exceeded a float."""
+    harness, directory = _Harness(), _FakeDirectory()
+    directory.is_down = True
+    discovery = _start_discovery(harness, directory, [])
+    discovery._failures = 1100
+    harness.advance(10)
+    directory.is_down = False
+    harness.advance(5)
+    assert directory.entries
+
+
+def test_store_is_read_after_thousands_of_failures() -> None:
+    harness = _Harness()
+    harness.reader.start(immediate=True)
+    harness.reader._failures = 1100
+    harness.feed.reads[0](Err(FeedFailure('refused')))
+    harness.advance(3)
+    assert harness.feed.pings
+
+
 def test_calm_directory_is_never_read_exactly() -> None:
     harness, directory = _Harness(), _FakeDirectory()
     _discovery(harness, directory)
--- a/tests/test_outside_numbers.py
+++ b/tests/test_outside_numbers.py
@@ -33,6 +33,7 @@
 from bluebellsill.route_table import RouteTable
 from bluebellsill.router_registry import RouterRegistry
 from bluebellsill.slot_gate import SlotGate
+from bluebellsill.target_view import TargetView
 from bluebellsill.timers import TimerService
 from bluebellsill.weighted_round_robin import WeightedRoundRobin
 from tests.path_rules import path_rule
@@ -225,3 +226,11 @@
     # As many as are kept are there when the measurement begins.
     assert _growth(call, times) < 1_000_000
     assert registry.of_service('shop-1') is registry.of_service('shop-1')
+
+
+def test_target_that_fails_thousands_of_times_is_still_avoided() -> None:
+    """After 1,024 failures the time to avoid it exceeded a float."""
+    view = TargetView('10.0.0.1:1', 'a')
+    for _ in range(3000):
+        view.on_error_status(1)
+    assert 1 < view.avoided_until <= 3
