Bound the zones that are remembered as returned to service

Cause: every zone name that operators ever took out and returned in an epoch was kept, and sent with each exported state; names of any number can be written.

Change: beyond 512 the memory is cleared.

--- a/bluebellsill/zone_exclusions.py
+++ b/bluebellsill/zone_exclusions.py
@@ -7,6 +7,9 @@
 __all__ = ('NO_EXCLUSIONS', 'ZoneExclusions')
 
 _NONE: frozenset[str] = frozenset()
+# Zones that are remembered as returned; far more than there are. Operators may
+# name any number of zones, and nodes send these names to each other.
+_MAX_RETURNED = 512
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,7 +51,7 @@
         return ZoneExclusions(
             self.out - {zone},
             self.unconfirmed - {zone},
-            self.returned | {zone},
+            _bounded(self.returned | {zone}),
         )
 
     def follow(
@@ -64,6 +67,7 @@
         if is_same_epoch:
             unconfirmed = self.unconfirmed
             returned = self.returned | (self.out - newer.out) | newer.returned
+            returned = _bounded(returned)
         else:
             unconfirmed = self.all_out
             returned = newer.returned
@@ -84,4 +88,12 @@
         return replace(self, unconfirmed=_NONE)
 
 
+def _bounded(zones: frozenset[str]) -> frozenset[str]:
+    """Return no zones if there are too many.
+
+    A zone that is forgotten may stay out a little longer after a restore.
+    """
+    return zones if len(zones) <= _MAX_RETURNED else _NONE
+
+
 NO_EXCLUSIONS = ZoneExclusions()
--- a/tests/test_outside_numbers.py
+++ b/tests/test_outside_numbers.py
@@ -20,13 +20,13 @@
 from bluebellsill.http import Request, Response
 from bluebellsill.membership import Members
 from bluebellsill.metrics import Metrics
-from bluebellsill.operator_feed import FeedSnapshot
+from bluebellsill.operator_feed import FeedSnapshot, FeedUpdate, ZoneWritten
 from bluebellsill.operator_state import OperatorState
 from bluebellsill.platform.headers import CALLER_HEADERS, LOAD
 from bluebellsill.platform.routing_document import decode_plan
 from bluebellsill.platform.target_dialect import PlatformDialect
 from bluebellsill.quarantine import Quarantine
-from bluebellsill.replica_version import StorePosition
+from bluebellsill.replica_version import NO_VERSION, StorePosition
 from bluebellsill.retries import RetryBudget
 from bluebellsill.route import Route
 from bluebellsill.route_interface import RouteInterface
@@ -234,3 +234,21 @@
     for _ in range(3000):
         view.on_error_status(1)
     assert 1 < view.avoided_until <= 3
+
+
+def test_memory_does_not_grow_with_the_zones_that_were_out() -> None:
+    """Each zone that was ever returned was remembered, and sent to peers."""
+    state = OperatorState(decode_plan)
+
+    def evacuate(number: int) -> None:
+        zone = f'zone-{number}'
+        first = StorePosition(1, 2 * number + 1)
+        second = StorePosition(1, 2 * number + 2)
+        for position, is_out in ((first, True), (second, False)):
+            written = ZoneWritten(position.revision, zone, is_out=is_out)
+            state.apply_update(FeedUpdate((written,), position), 'store')
+        assert not state.is_zone_out(zone)
+
+    assert _growth(evacuate, 4000) < 100_000
+    snapshot, _ = state.export(NO_VERSION)
+    assert len(snapshot) < 20_000
