Renew a watch that does not deliver what peers have

A reader whose answer was lost, alone among the readers, learns of the change from its peers; its watch stays open until its end, and while it is the first reader it confirmed the views of all nodes for up to 2.5 s although it had missed a change.

Now a watch that is behind its own node for 0.5 s is sent anew, a reader whose watch is behind confirms nothing, and a node ignores confirmations of a reader that is behind it. An answer that comes before the end of a wait counts from when the watch was sent.

Tests: both failed before.

--- a/bluebellsill/confirmations.py
+++ b/bluebellsill/confirmations.py
@@ -80,13 +80,18 @@
     def on_message(self, message: Confirmation, received_since: float) -> None:
         """Note a confirmation, unless this node lacks what it confirms.
 
+        A reader that is behind this node has missed a change, and cannot
+        confirm that there are no others.
+
         Args:
             message: The confirmation.
             received_since: The earliest time in seconds at which the datagram
                 may have arrived. It may have waited while the process was
                 paused.
         """
-        if self._replica.lacks(version_of(message)):
+        version = version_of(message)
+        is_behind = version.position < self._replica.version.position
+        if is_behind or self._replica.lacks(version):
             return
         at = received_since - max(0, message.age_ms) / _MS_PER_SECOND
         if self._view.confirm(at, message.reader_id) and self._is_gain(at):
--- a/bluebellsill/feed_reader.py
+++ b/bluebellsill/feed_reader.py
@@ -41,6 +41,8 @@
 # Seconds since an answer to a watch for which the store's answers to other
 # calls show that the next watch is in place.
 _MAX_UNVERIFIED = 2.7
+# Seconds by which a watch may deliver a change later than peers do.
+_MAX_BEHIND = 0.5
 _MIN_BACKOFF = 0.2  # seconds
 _MAX_BACKOFF = 2.0  # seconds
 # Seconds between the calls of a node that stands by while nobody is answered.
@@ -102,6 +104,8 @@
         self._is_reading = False  # whether a read of all keys is in flight
         self._watch: PendingWatch | None = None
         self._is_verifying = False  # whether the watch does not wait
+        # Since when peers have had changes that the watch has not delivered.
+        self._behind_since: float | None = None
         self._is_pinging = False
         # Whether this node confirmed the view last when a watch was answered.
         self._is_confirming = False
@@ -147,12 +151,6 @@
         """Whether it is this node's turn to confirm the view."""
         return self._view.seconds > self._patience
 
-    @property
-    def _is_store_lost_in_zone(self) -> bool:
-        """Whether a node of this availability zone has lost the store."""
-        zone_members = self._members.live_in_zone(self._members.own.zone)
-        return any(member.is_store_lost for member in zone_members)
-
     def _check(self) -> None:
         if self._is_stopped:
             return
@@ -181,7 +179,7 @@
         if is_reader != self._was_reader:
             self._was_reader = is_reader
             self._is_verified = (
-                self._is_verified and not self._is_store_lost_in_zone
+                self._is_verified and not self._order.is_store_lost_in_zone
             )
             self._log.info('reader changed', is_reader=is_reader)
         since = self._stood_in_at
@@ -201,13 +199,25 @@
 
     def _keep_reading(self, now: float) -> None:
         """Send the next call, after failures a cheap one first."""
-        if self._is_reading or self._watch is not None:
+        if self._is_reading or self._is_watching(now):
             return
         if self._failures >= _FAILURES_UNTIL_LOST:
             self._ask(now)
         elif now >= self._retry_at:
             self._send_read()
 
+    def _is_watching(self, now: float) -> bool:
+        """Whether a watch is pending; drop one that does not deliver."""
+        if self._cursor >= self._state.position:
+            self._behind_since = None
+        elif self._behind_since is None:
+            self._behind_since = now
+        elif now - self._behind_since > _MAX_BEHIND:
+            self._behind_since = None
+            self._is_verified = False
+            self._drop_watch()
+        return self._watch is not None
+
     def _send_read(self) -> None:
         self._cursor = max(self._cursor, self._state.position)
         if not self._cursor.revision:
@@ -269,6 +279,9 @@
         verified_at = self._verified_at
         if verified_at is None or epoch != self._cursor.epoch:
             return False
+        if self._cursor < self._state.position:
+            # A peer has got a change that the watch has not delivered.
+            return False
         is_recent = self._clock.now() - verified_at <= _MAX_UNVERIFIED
         return self._is_verified and is_recent
 
@@ -324,9 +337,10 @@
         self._on_verified()
         self._state.apply_update(update, _SOURCE)
         self._is_confirming = self._view.source == self._members.own.id
-        # The store answers when there is a change, or at the end of the wait.
-        answered_at = sent_at if update.changes else sent_at + wait
-        self._confirm(min(answered_at, self._clock.now()))
+        # At the end of the wait the answer is as new as that moment. An earlier
+        # one may have waited while this process was paused.
+        ends_at = sent_at + wait
+        self._confirm(sent_at if ends_at > self._clock.now() else ends_at)
         self._check()
 
     def _on_watch_failed(self, failure: FeedFailure, due_at: float) -> None:
--- a/bluebellsill/reading_order.py
+++ b/bluebellsill/reading_order.py
@@ -57,6 +57,12 @@
         """Whether this node asks the store on behalf of all others."""
         return self.readers()[:1] == [self._members.own.id]
 
+    @property
+    def is_store_lost_in_zone(self) -> bool:
+        """Whether a node of this node's zone has lost the store."""
+        live = self._members.live_in_zone(self._members.own.zone)
+        return any(one.is_store_lost for one in live)
+
     @property
     def patience(self) -> float:
         """The age in seconds of its view at which this node asks the store."""
--- a/tests/test_mesh_control.py
+++ b/tests/test_mesh_control.py
@@ -15,7 +15,7 @@
 from bluebellsill.confirmations import Confirmations
 from bluebellsill.discovery import Discovery
 from bluebellsill.feed_reader import FeedReader
-from bluebellsill.gossip_messages import Member
+from bluebellsill.gossip_messages import Confirmation, Member
 from bluebellsill.membership import Members, MemberState
 from bluebellsill.node_directory import DirectoryEntry, DirectoryFailure
 from bluebellsill.operator_feed import (
@@ -254,6 +254,37 @@
     assert reads < 40
 
 
+def test_watch_that_does_not_deliver_what_peers_have_is_renewed() -> None:
+    """Its answer was lost, and nothing would be read until its end."""
+    harness = _Harness()
+    harness.reader.start(immediate=True)
+    harness.feed.reads[0](Ok(FeedSnapshot(_at(7), b'3', frozenset())))
+    harness.feed.watches[0][2](Ok(FeedUpdate((), _at(7))))
+    assert len(harness.feed.watches) == 2
+    newer = FeedUpdate((DocumentWritten(9, b'4'),), _at(9))
+    harness.state.apply_update(newer, 'a peer')
+    harness.advance(1)
+    assert harness.feed.cancelled == 1
+    position, wait, _ = harness.feed.watches[2]
+    assert (position, wait) == (_at(9), 0)
+
+
+def test_reader_that_is_behind_confirms_nothing() -> None:
+    harness = _Harness()
+    harness.add_member('10.0.0.2:1')
+    newer = FeedSnapshot(_at(9), b'4', frozenset())
+    harness.state.apply_snapshot(newer, 'a peer')
+    harness.advance(2)
+    now = harness.clock.now()
+    for revision in (7, 11):
+        other = Confirmation('10.0.0.2:1', '10.0.0.2:1', 10, revision, 1, 4)
+        harness.confirmations.on_message(other, now)
+        assert harness.view.seconds >= 2
+    same = Confirmation('10.0.0.2:1', '10.0.0.2:1', 10, 9, 1, 4)
+    harness.confirmations.on_message(same, now)
+    assert harness.view.seconds < 0.1
+
+
 def test_each_zone_has_one_reader() -> None:
     ids = [f'10.0.0.{index}:1' for index in range(1, 6)]
     readers = 0
