Cancel the timers of a call that has left the queue of its target

Cause: each call that waits at a target has two timers, the later due at its deadline. They were never cancelled, so memory grew with the deadlines that callers state.

Test: 100 calls that leave the queue left 200 timers behind before, none now.

--- a/bluebellsill/runs.py
+++ b/bluebellsill/runs.py
@@ -13,6 +13,7 @@
     from bluebellsill.http_exchange import Exchange
     from bluebellsill.messages import Answer, Call, Failure, Refusal
     from bluebellsill.resources import Service
+    from bluebellsill.timers import Timer
 
 __all__ = ('Run', 'TargetOwner', 'make_ticket')
 
@@ -41,7 +42,14 @@
 class Run:
     """One call at the target's node, from admission to response."""
 
-    __slots__ = ('call', 'exchange', 'has_failed_below', 'respond', 'ticket')
+    __slots__ = (
+        'call',
+        'exchange',
+        'has_failed_below',
+        'queue_timers',
+        'respond',
+        'ticket',
+    )
 
     def __init__(
         self,
@@ -54,8 +62,16 @@
         self.ticket = ticket
         self.respond = respond
         self.exchange: Exchange | None = None
+        # Due when the call may have waited too long.
+        self.queue_timers: list[Timer] = []
         self.has_failed_below = False
 
+    def leave_queue(self) -> None:
+        """Cancel the timers of the wait, which may be due much later."""
+        for timer in self.queue_timers:
+            timer.cancel()
+        self.queue_timers.clear()
+
 
 def make_ticket(call: Call, now: float) -> Ticket:
     """Return the admission ticket of a call that arrived at ``now``."""
--- a/bluebellsill/target_runner.py
+++ b/bluebellsill/target_runner.py
@@ -178,7 +178,8 @@
         else:
             for due_at in (ticket.leaves_queue_at, ticket.expires_at):
                 left = max(0, due_at - now)
-                self._reactor.timers.after(left, self._expire_queue)
+                timer = self._reactor.timers.after(left, self._expire_queue)
+                run.queue_timers.append(timer)
             self._expire_queue()
             self._schedule_admission(now)
             self._slowness_meter.start()
@@ -194,6 +195,7 @@
             return
         if self.gate.withdraw(run.ticket):
             del self._runs_by_ticket[run.ticket]
+            run.leave_queue()
             return
         if not run.call.is_idempotent:
             return
@@ -275,9 +277,11 @@
     def _respond_refused(self, ticket: Ticket, kind: ErrorKind) -> None:
         run = self._runs_by_ticket.pop(ticket, None)
         if run is not None:
+            run.leave_queue()
             run.respond(self._replies.refusal(run.call, kind, ticket))
 
     def _dispatch(self, run: Run) -> None:
+        run.leave_queue()
         call = run.call
         pool = self.watch.pool
         announcement = self.announcement
--- a/tests/test_outside_numbers.py
+++ b/tests/test_outside_numbers.py
@@ -13,9 +13,12 @@
 from types import SimpleNamespace
 from typing import Any
 
+import pytest
+
 from bluebellsill.admission import Decision, Ticket
 from bluebellsill.balancing_policy import RoundRobin
 from bluebellsill.clock import ManualClock
+from bluebellsill.errors import ErrorKind
 from bluebellsill.gossip_messages import Member
 from bluebellsill.http import Request, Response
 from bluebellsill.membership import Members
@@ -27,6 +30,7 @@
 from bluebellsill.platform.target_dialect import PlatformDialect
 from bluebellsill.quarantine import Quarantine
 from bluebellsill.replica_version import NO_VERSION, StorePosition
+from bluebellsill.resources import Kind
 from bluebellsill.retries import RetryBudget
 from bluebellsill.route import Route
 from bluebellsill.route_interface import RouteInterface
@@ -36,6 +40,7 @@
 from bluebellsill.target_view import TargetView
 from bluebellsill.timers import TimerService
 from bluebellsill.weighted_round_robin import WeightedRoundRobin
+from tests.node_session import NodeSession
 from tests.path_rules import path_rule
 
 _VERSIONS = 2000
@@ -252,3 +257,25 @@
     assert _growth(evacuate, 4000) < 100_000
     snapshot, _ = state.export(NO_VERSION)
     assert len(snapshot) < 20_000
+
+
+@pytest.mark.parametrize('ends', ('cancelled', 'refused'))
+def test_call_that_has_left_the_queue_leaves_no_timers_behind(
+    monkeypatch: pytest.MonkeyPatch, ends: str
+) -> None:
+    """Two were left for each call, due at its deadline, which callers state."""
+    session = NodeSession(monkeypatch, service='bookings')
+    session.declare(Kind.SERVICE, 'bookings', slots=6)
+    session.announce('one')
+    session.call_from_peer('runs', '/bookings/1')
+    heap = session.reactor.timers._heap
+    before = sum(one[2].callback is not None for one in heap)
+    for number in range(100):
+        run = session.call_from_peer(f'waits-{number}', '/bookings/2')
+        assert run is not None
+        if ends == 'cancelled':
+            session.runner.cancel(run)
+        else:
+            session.runner.refuse_queue(ErrorKind.LEAVING)
+    heap = session.reactor.timers._heap
+    assert sum(one[2].callback is not None for one in heap) <= before
