--- a/bluebellsill/http_client.py
+++ b/bluebellsill/http_client.py
@@ -192,6 +192,7 @@
         # The latest requests that were answered on this connection.
         self.answered_ids: deque[str] = deque(maxlen=_MAX_ANSWERED_IDS)
         self._got_stale_response = False
+        self._is_too_large = False
         self._pool = pool
         self._exchange: Exchange | None = None
         self._reset()
@@ -251,13 +252,18 @@
         self._exchange = None
         if exchange is not None:
             is_sent = self.stream.is_connected
-            exchange.finish(Err(HttpFailure(reason, is_sent=is_sent)))
+            failure = HttpFailure(
+                reason, is_sent=is_sent, is_too_large=self._is_too_large
+            )
+            exchange.finish(Err(failure))
 
     # Callbacks of the HTTP parser.
 
     def on_header(self, name: bytes, text: bytes) -> None:
         """Store a header."""
         lower = name.decode('latin-1').lower()
+        if lower == 'content-length':
+            self._check_size(parse_whole_number(text.decode('latin-1')) or 0)
         self._has_length |= lower in {'content-length', 'transfer-encoding'}
         self._headers.append((lower, text.decode('latin-1')))
 
@@ -282,8 +288,7 @@
         """Store a part of the body."""
         self._has_body_part = True
         self._body += chunk
-        if len(self._body) > MAX_BODY:
-            self._schedule_failure(f'response body exceeds {MAX_BODY} bytes')
+        self._check_size(len(self._body))
 
     def on_message_complete(self) -> None:
         """Report the complete response; skip one with a 1xx status."""
@@ -350,6 +355,11 @@
             bytes(self._body),
         )
 
+    def _check_size(self, size: int) -> None:
+        if size > MAX_BODY and not self._is_too_large:
+            self._is_too_large = True
+            self._schedule_failure(f'response body exceeds {MAX_BODY} bytes')
+
     def _schedule_failure(self, reason: str) -> None:
         self._pool.reactor.timers.after(0, lambda: self.stream.lose(reason))
 
@@ -359,6 +369,7 @@
         self._parser = HttpResponseParser(self)
         self._limit = ResponseLimit()
         self._has_body_part = False
+        self._is_too_large = False
         self._clear()
 
     def _clear(self) -> None:
--- a/bluebellsill/http_exchange.py
+++ b/bluebellsill/http_exchange.py
@@ -40,11 +40,14 @@
         reason: A description of the failure for logs and error messages.
         is_sent: Whether the server may have received the request.
         is_timeout: Whether the request timed out.
+        is_too_large: Whether the response exceeds what the client accepts, so
+            that the same request would fail again.
     """
 
     reason: str
     is_sent: bool
     is_timeout: bool = False
+    is_too_large: bool = False
 
 
 class ExchangeConnection(Protocol):
--- a/bluebellsill/operator_feed.py
+++ b/bluebellsill/operator_feed.py
@@ -74,8 +74,9 @@
     Attributes:
         reason: A human-readable description of the failure.
         is_position_lost: Whether the store cannot tell the changes after the
-            requested position, because it has discarded them or was restored
-            from a copy, so that a full snapshot must be read.
+            requested position, because it has discarded them, was restored
+            from a copy or has more than one answer can hold, so that a full
+            snapshot must be read.
     """
 
     reason: str
--- a/bluebellsill/platform/kv_store.py
+++ b/bluebellsill/platform/kv_store.py
@@ -165,11 +165,14 @@
         reason: A description for people.
         status: The HTTP status, 0 if there was no response.
         may_have_run: Whether a write may still take effect.
+        is_unusable: Whether the store has answered, but with what cannot be
+            read; it would answer the same call in the same way.
     """
 
     reason: str
     status: int = 0
     may_have_run: bool = False
+    is_unusable: bool = False
 
 
 class KvStore:
@@ -384,7 +387,13 @@
 ) -> Result[AnswerType, KvFailure]:
     if isinstance(done, Err):
         failure = done.err_value
-        return Err(KvFailure(failure.reason, may_have_run=failure.is_sent))
+        return Err(
+            KvFailure(
+                failure.reason,
+                may_have_run=failure.is_sent,
+                is_unusable=failure.is_too_large,
+            )
+        )
     response = done.ok_value
     if response.status != HTTPStatus.OK:
         reason = f'store answered {response.status}'
@@ -394,5 +403,6 @@
             f'store sent {response.body[:_MAX_SHOWN_BYTES]!r}: {fault}',
             response.status,
             may_have_run=True,
+            is_unusable=True,
         ),
     )
--- a/bluebellsill/platform/operator_keys.py
+++ b/bluebellsill/platform/operator_keys.py
@@ -145,4 +145,5 @@
 
 def _failure(failure: KvFailure) -> FeedFailure:
     is_gone = failure.status == HTTPStatus.GONE
-    return FeedFailure(failure.reason, is_position_lost=is_gone)
+    is_lost = is_gone or failure.is_unusable
+    return FeedFailure(failure.reason, is_position_lost=is_lost)
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -9,6 +9,7 @@
 from contextlib import contextmanager
 from socket import create_server, socket
 from threading import Thread
+from typing import Any
 
 import pytest
 from circuits import Component
@@ -16,7 +17,9 @@
 
 from bluebellsill.clock import SystemClock
 from bluebellsill.platform.kv_store import ItemWatch, KvFailure, KvStore
+from bluebellsill.platform.operator_keys import OperatorKeys
 from bluebellsill.reactor import Reactor
+from bluebellsill.replica_version import StorePosition
 from bluebellsill.streams import Address
 from bluebellsill.timers import TimerService
 
@@ -35,20 +38,36 @@
         super().__init__()
         reactor = Reactor(TimerService(SystemClock())).register(self)
         self.store = KvStore(reactor, Address('127.0.0.1', port))
-        self.outcome: Result[ItemWatch, KvFailure] | None = None
+        self.outcome: Any = None
+        self.watch()
+
+    def watch(self) -> None:
+        """Send the call."""
         self.store.watch('op/', 1, 0, self._on_done)
 
-    def _on_done(self, outcome: Result[ItemWatch, KvFailure]) -> None:
+    def _on_done(self, outcome: Result[Any, Any]) -> None:
         self.outcome = outcome
         self.stop()
 
 
+class _FeedClient(_Client):
+    """Watches the operators' keys instead."""
+
+    def watch(self) -> None:
+        """Send the call."""
+        feed = OperatorKeys(self.store)
+        feed.watch(StorePosition(0, 1), 0, self._on_done)
+
+
 @contextmanager
-def _store(send: _Send) -> Iterator[int]:
+def _store(send: _Send, documents: int = 1) -> Iterator[int]:
     """Serve one watch; ``send`` writes the answer to it."""
     payload = b64encode(b'x' * _DOCUMENT_BYTES).decode()
-    item = {'key': 'op/config', 'revision': 2, 'lease': 0, 'value': payload}
-    body = json.dumps({'events': [item], 'current_rev': 2}).encode()
+    items = [
+        {'key': 'op/config', 'revision': 2 + one, 'lease': 0, 'value': payload}
+        for one in range(documents)
+    ]
+    body = json.dumps({'events': items, 'current_rev': 9}).encode()
     head = f'HTTP/1.1 200 OK\r\ncontent-length: {len(body)}\r\n\r\n'.encode()
 
     def serve() -> None:
@@ -112,3 +131,20 @@
     outcome, seconds = _watch(_trickle)
     assert isinstance(outcome, Err)
     assert seconds < 6
+
+
+def test_changes_that_exceed_one_answer_are_replaced_by_a_snapshot() -> None:
+    """The same watch was sent again and again, and got the same answer."""
+    with _store(lambda sock, answer: sock.sendall(answer), 4) as port:
+        client = _FeedClient(port)
+        client.run()
+    assert client.outcome.err_value.is_position_lost
+
+
+def test_answer_that_cannot_be_read_is_replaced_by_a_snapshot() -> None:
+    body = b'{"events":[{"key":7}],"current_rev":9}'
+    head = b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n' % len(body)
+    with _store(lambda sock, _: sock.sendall(head + body)) as port:
+        client = _FeedClient(port)
+        client.run()
+    assert client.outcome.err_value.is_position_lost
