Read a request that offers another protocol with its body

Cause: the parser of the HTTP library takes an offer as accepted, ends the message after its head and raises an error that nothing caught. The class: bytes read under another framing than the sender's.

Change: such a head is parsed again without the offer, as a server may ignore it (RFC 9110, 7.8), and its body by its length or its chunks. CONNECT is refused and its connection closed. A response that switches protocols fails its request at once; before, it ran into the timeout.

--- a/bluebellsill/http_client.py
+++ b/bluebellsill/http_client.py
@@ -6,7 +6,7 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
-from httptools import HttpParserError, HttpResponseParser
+from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 from result import Err, Ok, Result
 
 from bluebellsill.decoding import parse_whole_number
@@ -225,6 +225,9 @@
         except HttpParserError as error:
             self.stream.lose(f'malformed response: {error}')
             return
+        except HttpParserUpgrade:
+            self.stream.lose('response switches to another protocol')
+            return
         if self._exchange is not exchange:
             # The response is complete; the next request has a new limit.
             return
--- a/bluebellsill/http_server.py
+++ b/bluebellsill/http_server.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from httptools import HttpParserError, HttpRequestParser
+from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 from msgspec import json
 
 from bluebellsill.errors import ErrorKind, Problem
@@ -20,6 +20,7 @@
     problem_response,
 )
 from bluebellsill.streams import Address, Listener, Stream
+from bluebellsill.upgrade_offer import head_without_offer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -200,7 +201,7 @@
                 self._head_started_at = self._server.clock.now()
             self._head_size += len(chunk)
         try:
-            self._parser.feed_data(chunk)
+            self._parse(chunk)
         except HttpParserError as error:
             self._fail(ErrorKind.BAD_REQUEST, f'malformed HTTP: {error}')
         max_head = self._server.limits.max_head
@@ -294,6 +295,8 @@
 
     def on_headers_complete(self) -> None:
         """Note the end of the head; send 100 Continue if the client asks."""
+        if self._parser.should_upgrade():
+            return
         self._is_reading_head = False
         if find_header(self._headers, 'expect').lower() == '100-continue':
             self.stream.send(b'HTTP/1.1 100 Continue\r\n\r\n')
@@ -309,7 +312,9 @@
             )
 
     def on_message_complete(self) -> None:
-        """Queue the complete request."""
+        """Queue the complete request, unless it is parsed again."""
+        if self._parser.should_upgrade():
+            return
         self._head_size = 0
         self._is_reading_head = True
         if self._problem is not None:
@@ -323,6 +328,28 @@
         keep_alive = self._parser.should_keep_alive()
         self._queued.append((request, keep_alive))
 
+    def _parse(self, chunk: bytes) -> None:
+        rest = memoryview(chunk)
+        while self._problem is None:
+            try:
+                self._parser.feed_data(rest)
+            except HttpParserUpgrade as upgrade:
+                rest = rest[upgrade.args[0] :]
+            else:
+                return
+            self._restart_without_offer()
+
+    def _restart_without_offer(self) -> None:
+        """Parse the head of a request that offers another protocol again."""
+        method = self._parser.get_method().decode('latin-1')
+        if method == 'CONNECT':
+            self._fail(ErrorKind.BAD_REQUEST, 'CONNECT is not supported')
+            return
+        version = self._parser.get_http_version()
+        head = head_without_offer(method, self._url, version, self._headers)
+        self._parser = HttpRequestParser(self)
+        self._parser.feed_data(head)
+
     def _start_idle_timeout(self) -> None:
         """Start the idle timeout."""
         timeout = self._server.limits.idle_timeout
--- a/tests/test_http_limits.py
+++ b/tests/test_http_limits.py
@@ -55,6 +55,7 @@
             remove=lambda _: None,
         )
         self.replies: list[Reply] = []
+        self.requests: list[Request] = []
         self.server = HttpServer(
             reactor,
             Address('127.0.0.1', 0),
@@ -67,6 +68,7 @@
 
     def _on_request(self, request: Request, reply: Reply) -> None:
         self.replies.append(reply)
+        self.requests.append(request)
 
     def advance(self, seconds: float) -> None:
         """Advance the clock in steps of 0.1 s and run due timers."""
