Withdraw a call whose caller leaves after a refusal of the same target

Cause: a target that is full refuses a call at once, and the next attempt waits there. The refusal is replied while the first attempt is still being sent, so the run of the refused attempt, which is none, replaced the one that waits, and nothing was left to cancel.

Change: the run is kept only if its attempt is still the current one.

--- a/bluebellsill/outbound_call.py
+++ b/bluebellsill/outbound_call.py
@@ -119,7 +119,11 @@
                 self._on_reply(reply)
 
         if decision.node_id == self._own_id:
-            self._local_run = self._runner.run(call, on_reply)
+            run = self._runner.run(call, on_reply)
+            if self._request_id == request_id:
+                # A refusal is replied at once, and the next attempt, which may
+                # have been sent to the same target, has its own run.
+                self._local_run = run
         else:
             self._links.request(decision.node_id, call, on_reply)
 
