Leave the stated length of a body that is not sent out of the limit

Cause: since the limit on responses looks at the stated length, a 304 or the response to a HEAD request whose target states more than 4 MiB ended its connection in the next turn of the loop, with the request that had been sent on it meanwhile.

Test: a request after such a 304 failed before.

--- a/bluebellsill/http_client.py
+++ b/bluebellsill/http_client.py
@@ -266,7 +266,7 @@
         """Store a header."""
         lower = name.decode('latin-1').lower()
         if lower == 'content-length':
-            self._check_size(parse_whole_number(text.decode('latin-1')) or 0)
+            self._length = parse_whole_number(text.decode('latin-1')) or 0
         self._has_length |= lower in {'content-length', 'transfer-encoding'}
         self._headers.append((lower, text.decode('latin-1')))
 
@@ -277,6 +277,8 @@
             return
         exchange = self._exchange
         is_bodyless = status in _BODYLESS or (exchange and exchange.is_head)
+        if not is_bodyless:
+            self._check_size(self._length)
         if not self._has_length and not is_bodyless:
             if self._pool.rules.allows_body_until_close:
                 self._ends_with_connection = True
@@ -379,6 +381,7 @@
         self._headers: Headers = []
         self._body = bytearray()
         self._has_length = False
+        self._length = 0  # that the head states, in bytes
         self._ends_with_connection = False
 
 
--- a/tests/test_kept_connection.py
+++ b/tests/test_kept_connection.py
@@ -158,3 +158,21 @@
 
     (outcome,) = _outcomes(serve, ['a'])
     assert outcome.unwrap().body == b'body'
+
+
+def test_length_of_a_body_that_is_not_sent_does_not_end_the_connection() -> (
+    None
+):
+    def serve(connection: socket, number: int) -> None:
+        with connection:
+            connection.recv(65536)
+            connection.sendall(
+                b'HTTP/1.1 304 Not Modified\r\nx-id: a\r\n'
+                b'content-length: 99999999\r\n\r\n'
+            )
+            connection.recv(65536)
+            connection.sendall(_success('b'))
+
+    first, second = _outcomes(serve, ['a', 'b'])
+    assert first.unwrap().status == 304
+    assert isinstance(second, Ok)
--- a/tests/test_response_limit.py
+++ b/tests/test_response_limit.py
@@ -140,3 +140,14 @@
         client.pool.close()
     assert isinstance(client.outcome, Ok)
     assert client.outcome.ok_value.body == body
+
+
+def test_body_whose_stated_length_exceeds_the_limit_is_not_read() -> None:
+    head = b'HTTP/1.1 200 OK\r\nx-id: own\r\ncontent-length: 99999999\r\n\r\n'
+    with _server(head, b'') as (port, sender):
+        sender._block = b'z'
+        client = _Client(port)
+        client.run()
+    assert isinstance(client.outcome, Err)
+    assert client.outcome.err_value.is_too_large
+    assert sender.sent < MAX_BODY
