Keep a small histogram for each of up to 128 tenants

With 77 teams, 13 of them shared the histogram "other", and 64 histograms of 22.9 KB took 1.5 MB of each node.

Tenants get histograms with one significant digit and 4-byte counters (2.7 KB each, measured with tracemalloc), and 128 of them. The test of the bound expected 65 histograms; it now expects 129 and also bounds the memory, at 400,000 bytes, which the former 65 histograms exceed.

--- a/bluebellsill/metrics.py
+++ b/bluebellsill/metrics.py
@@ -20,7 +20,11 @@
 # Services and classes that have a histogram, of 22 KB each. They come and go with
 # the versions of the configuration.
 _MAX_NAMES = 256
-_MAX_TENANTS = 64  # with their own histogram; further tenants share one
+# Tenants with their own histogram, of 2.7 KB each; further tenants share one.
+# Deployments with 77 teams exist.
+_MAX_TENANTS = 128
+_TENANT_DIGITS = 1  # significant ones; a precision of 10% suffices
+_TENANT_COUNTER_BYTES = 4
 _OTHER_TENANTS = 'other'
 _MICROSECONDS_PER_SECOND = 1000000
 _PERCENTILES = {'p50_ms': 50, 'p99_ms': 99, 'p999_ms': 99.9}
@@ -31,12 +35,18 @@
 
     __slots__ = ('_histogram',)
 
-    def __init__(self) -> None:
-        """Create an empty histogram."""
+    def __init__(
+        self, digits: int = _SIGNIFICANT_DIGITS, counter_bytes: int = 8
+    ) -> None:
+        """Create an empty histogram.
+
+        Args:
+            digits: Significant digits of a latency.
+            counter_bytes: The size of a counter, of which there is one for
+                each latency that can be told from others.
+        """
         self._histogram = HdrHistogram(
-            _MIN_LATENCY,
-            _MAX_LATENCY,
-            _SIGNIFICANT_DIGITS,
+            _MIN_LATENCY, _MAX_LATENCY, digits, counter_bytes
         )
 
     def record(self, seconds: float) -> None:
@@ -91,7 +101,7 @@
         self._by_service = _RecentHistograms()
         self._by_class = _RecentHistograms()
         self._by_tenant: dict[str, LatencyHistogram] = defaultdict(
-            LatencyHistogram
+            lambda: LatencyHistogram(_TENANT_DIGITS, _TENANT_COUNTER_BYTES)
         )
 
     def record(
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -4,6 +4,7 @@
 
 import subprocess
 import sys
+import tracemalloc
 
 import pytest
 from hdrh.histogram import HdrHistogram
@@ -42,11 +43,17 @@
 
 def test_number_of_tenants_is_bounded() -> None:
     node_metrics = Metrics()
-    for tenant in range(1000):
+    node_metrics.record('bookings', 'default', 'tenant-0', 0.01)
+    tracemalloc.start()
+    for tenant in range(1, 1000):
         node_metrics.record('bookings', 'default', f'tenant-{tenant}', 0.01)
+    kept_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
     by_tenant = node_metrics.document()['by_tenant']
-    assert len(by_tenant) == 65
-    assert by_tenant['other']['count'] == 936
+    assert len(by_tenant) == 129
+    assert by_tenant['other']['count'] == 872
+    # 65 histograms with the precision of services took 1,490,000.
+    assert kept_bytes < 400_000
 
 
 def test_classes_have_their_own_histograms() -> None:
