Identify the team of a request by its key

The routing document may list teams with keys. TeamFilter, behind RouteFilter, finds the team by a keyed digest, removes the key from the request and refuses an unknown or missing key with 401. Public routes and nested calls need no key. While the target may run requests of an earlier process of the node, a possible nested call gets 503. The target is told the team's name; a client's header of that name is always removed. A team's importance precedes the route's in Call.priority. Documents with ambiguous teams are rejected.

With teams in force, a call counts as nested only if its id extends the id of a running call and it carries no credentials; this also finds the parent of calls that are nested more deeply. Without teams, callers are told apart as before.

--- a/bluebellsill/caller_side.py
+++ b/bluebellsill/caller_side.py
@@ -18,6 +18,7 @@
 from bluebellsill.weighted_round_robin import WeightedRoundRobin
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from random import Random
 
     from bluebellsill.http import Request
@@ -54,9 +55,22 @@
         metrics: Metrics,
         runner: TargetRunner,
         random: Random,
+        may_run_unknown: Callable[[], bool],
     ) -> None:
         """Bind the listener for callers.
 
+        Args:
+            reactor: Event loop with the sockets and timers.
+            settings: The settings.
+            peers: The other nodes.
+            state: Provides the routing plan.
+            quarantine: Records the requests that crash targets.
+            metrics: Counts the outcomes of requests.
+            runner: Runs calls at the local target.
+            random: Draws ids and targets.
+            may_run_unknown: Returns whether the local target may run calls of
+                an earlier process of this node.
+
         Raises:
             OSError: The address cannot be bound.
         """
@@ -75,6 +89,7 @@
             quarantine,
             self._clock,
             random,
+            may_run_unknown,
         )
         placement = RouterRegistry(
             members,
@@ -100,7 +115,9 @@
     def _on_request(self, request: Request, reply: Reply) -> None:
         # Callers and the local target connect to the same address. Only the
         # target makes calls for a request that it is running.
-        is_target = self._runner.is_running(self._interface.parent_id(request))
+        is_target = self._interface.is_nested(
+            request, self._runner.running_ids()
+        )
         if self.is_draining and not is_target:
             # Callers send requests on open connections until the process
             # exits, so each of them is refused. Nested calls are served: a
--- a/bluebellsill/errors.py
+++ b/bluebellsill/errors.py
@@ -33,6 +33,7 @@
     HEAD_TOO_LARGE = 'head_too_large'
     HEAD_TIMEOUT = 'head_timeout'
     UNAUTHORIZED = 'unauthorized'
+    UNKNOWN_PARENT = 'unknown_parent'
     FORBIDDEN_CALLER = 'forbidden_caller'
     UNKNOWN_SERVICE = 'unknown_service'
     UNKNOWN_ROUTE = 'unknown_route'
@@ -95,6 +96,7 @@
     ),
     ErrorKind.HEAD_TIMEOUT: ErrorResponse(HTTPStatus.REQUEST_TIMEOUT),
     ErrorKind.UNAUTHORIZED: ErrorResponse(HTTPStatus.UNAUTHORIZED),
+    ErrorKind.UNKNOWN_PARENT: ErrorResponse(HTTPStatus.SERVICE_UNAVAILABLE),
     ErrorKind.FORBIDDEN_CALLER: ErrorResponse(HTTPStatus.FORBIDDEN),
     ErrorKind.UNKNOWN_SERVICE: ErrorResponse(HTTPStatus.NOT_FOUND),
     ErrorKind.UNKNOWN_ROUTE: ErrorResponse(HTTPStatus.NOT_FOUND),
--- a/bluebellsill/filters.py
+++ b/bluebellsill/filters.py
@@ -90,6 +90,13 @@
         """Whether the request may safely run twice."""
         return self.route.is_idempotent
 
+    @property
+    def importance(self) -> int:
+        """How late the call is shed: by its team first, then by its route."""
+        if self.team is None:
+            return self.route.importance
+        return self.team.call_priority(self.route.importance)
+
     @property
     def key(self) -> str:
         """The idempotency key, or empty if the request is idempotent."""
--- a/bluebellsill/gateway.py
+++ b/bluebellsill/gateway.py
@@ -281,6 +281,7 @@
             correlation=inbound.correlation,
             service=inbound.service_name,
             route=inbound.route.name,
+            team=inbound.team.name if inbound.team else None,
             kind=problem.kind.value,
             reason=problem.message,
             after_ms=self._elapsed_ms(inbound),
--- a/bluebellsill/http.py
+++ b/bluebellsill/http.py
@@ -125,6 +125,8 @@
     problem: Problem,
     correlation: str = '',
     run: RunStatus | None = None,
+    *,
+    challenge: str = 'Bearer',
 ) -> Response:
     """Return the response that the error table defines for a problem.
 
@@ -133,6 +135,7 @@
         correlation: The id that identifies the request in the logs.
         run: Whether the request was executed, as far as is known; None
             for the value in the table.
+        challenge: The authentication scheme that a client is asked to use.
     """
     answer = problem.response
     known = answer.run if run is None else run
@@ -150,7 +153,7 @@
         ('bluebellsill-run', known.value),
     ]
     if answer.status == HTTPStatus.UNAUTHORIZED:
-        headers.append(('www-authenticate', 'Bearer'))
+        headers.append(('www-authenticate', challenge))
     return Response(answer.status.value, headers, body)
 
 
--- a/bluebellsill/mesh_node.py
+++ b/bluebellsill/mesh_node.py
@@ -237,6 +237,7 @@
             self._metrics,
             self._runner,
             self._random,
+            self._target_side.may_run_unknown,
         )
         self._ready_server = HttpServer(
             self._reactor,
--- a/bluebellsill/outbound_call.py
+++ b/bluebellsill/outbound_call.py
@@ -138,7 +138,7 @@
             self._headers,
             request.body,
             int(attempt.timeout * 1000),
-            inbound.route.importance,
+            inbound.importance,
             inbound.is_idempotent,
             inbound.fingerprint,
             inbound.correlation,
--- a/bluebellsill/platform/headers.py
+++ b/bluebellsill/platform/headers.py
@@ -8,6 +8,7 @@
     'CALLER_HEADERS',
     'CALLER_SERVICE',
     'COLD_LEFT',
+    'CREDENTIALS',
     'DEADLINE',
     'EXPECTED_TARGET',
     'LEAVING',
@@ -18,6 +19,7 @@
     'STAMP',
     'STORE_EPOCH',
     'TARGET_NAME',
+    'TEAM',
 )
 
 REQUEST_ID = 'bluebellsill-request-id'
@@ -25,6 +27,11 @@
 # sending the request.
 DEADLINE = 'bluebellsill-deadline-ms'
 CALLER_SERVICE = 'bluebellsill-caller-service'
+# A client's key, after the name of the scheme.
+CREDENTIALS = 'authorization'
+_SCHEME = 'Token'
+# The name of the team whose key a request carried; only nodes set it.
+TEAM = 'bluebellsill-tenant-id'
 # The name of the target that a request is addressed to.
 EXPECTED_TARGET = 'bluebellsill-expected-instance'
 # The name of the target that responds to a probe.
@@ -52,6 +59,9 @@
     request_id=REQUEST_ID,
     deadline=DEADLINE,
     calling_service=CALLER_SERVICE,
+    credentials=CREDENTIALS,
+    scheme=_SCHEME,
+    team=TEAM,
     reserved=frozenset((EXPECTED_TARGET,)),
     # A target's own calls append to the id of the request that it processes.
     parent_separator='.',
--- a/bluebellsill/platform/routing_document.py
+++ b/bluebellsill/platform/routing_document.py
@@ -14,6 +14,7 @@
 from bluebellsill.route import Route, Split, WeightedService
 from bluebellsill.route_table import RouteTable
 from bluebellsill.routing_plan import RoutingPlan
+from bluebellsill.teams import Allowance, Team, TeamDirectory
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -38,6 +39,9 @@
 # messages between nodes could not carry it.
 _MAX_NUMBER = 10**9
 _MAX_MS = _MAX_NUMBER * _MS_PER_SECOND
+# A header cannot carry control characters, nor white space at its ends.
+_HEADER_TEXT = r'\A[^\x00-\x20\x7f]([^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?\Z'
+_MAX_NAME = 256  # characters of a team's name
 
 Milliseconds = Annotated[float, Meta(gt=0, le=_MAX_MS)]
 Count = Annotated[int, Meta(ge=1, le=_MAX_NUMBER)]
@@ -62,6 +66,7 @@
         max_attempts: The maximum number of targets that get one request.
         service: The service, if there is only one.
         weighted_services: The services, if there are several.
+        public: Whether requests need no key.
     """
 
     name: str
@@ -73,6 +78,7 @@
     max_attempts: Count = 1
     service: str | None = None
     weighted_services: tuple[_WeightedService, ...] = ()
+    public: bool = False
 
     def service_names(self) -> list[str]:
         """Return the names of the services that get requests."""
@@ -112,6 +118,24 @@
     cold_per_s: Annotated[float, Meta(gt=0, le=_MAX_NUMBER)] = 1
 
 
+class _Tenant(Struct, frozen=True):
+    """A team.
+
+    Attributes:
+        name: The team's name, which is sent to targets in a header.
+        api_keys: Each of its keys identifies it.
+        priority: 0 is the most important; ``Team.importance`` is inverse.
+        rate_per_s: Its requests a second over all nodes, 0 for no allowance.
+        burst: Its requests beyond that.
+    """
+
+    name: Annotated[str, Meta(pattern=_HEADER_TEXT, max_length=_MAX_NAME)]
+    api_keys: tuple[Annotated[str, Meta(min_length=1)], ...] = ()
+    priority: Priority = 0
+    rate_per_s: Annotated[float, Meta(ge=0, le=_MAX_NUMBER)] = 0
+    burst: Annotated[float, Meta(ge=0, le=_MAX_NUMBER)] = 0
+
+
 class _Limits(Struct, frozen=True):
     """Limits on the size and timing of callers' requests."""
 
@@ -128,6 +152,7 @@
     virtual_hosts: tuple[_VirtualHost, ...]
     services: tuple[_ServiceEntry, ...] = ()
     limits: _Limits | None = None
+    tenants: tuple[_Tenant, ...] | None = None
 
 
 def decode_plan(payload: bytes) -> Result[RoutingPlan, str]:
@@ -155,6 +180,9 @@
         if not path_rule.service_names():
             place = f'{hostname}{path_prefix}'
             return Err(f'route {path_rule.name!r} at {place} has no service')
+    teams = _teams(document.tenants)
+    if isinstance(teams, Err):
+        return Err(f'invalid routing document: {teams.err_value}')
     return Ok(
         RoutingPlan(
             int(document.version.removeprefix(_VERSION_TAG)),
@@ -168,6 +196,7 @@
             ),
             {entry.name: _service(entry) for entry in document.services},
             _limits(document.limits),
+            teams.ok_value,
         ),
     )
 
@@ -187,6 +216,26 @@
         target_latency=rule.target_latency_ms / _MS_PER_SECOND,
         importance=_MAX_IMPORTANCE - rule.priority,
         max_sends=rule.max_attempts,
+        is_public=rule.public,
+    )
+
+
+def _teams(
+    tenants: tuple[_Tenant, ...] | None,
+) -> Result[TeamDirectory | None, str]:
+    if tenants is None:
+        return Ok(None)
+    return TeamDirectory.build(
+        (_team(tenant), tenant.api_keys) for tenant in tenants
+    )
+
+
+def _team(tenant: _Tenant) -> Team:
+    has_allowance = tenant.rate_per_s > 0
+    return Team(
+        tenant.name,
+        _MAX_IMPORTANCE - tenant.priority,
+        Allowance(tenant.rate_per_s, tenant.burst) if has_allowance else None,
     )
 
 
--- a/bluebellsill/route.py
+++ b/bluebellsill/route.py
@@ -40,6 +40,7 @@
             0 if none are configured.
         importance: Requests of higher importance are shed later.
         max_sends: How many targets may receive one request.
+        is_public: Whether requests need no key of a team.
     """
 
     name: str
@@ -49,3 +50,4 @@
     target_latency: float = 0
     importance: int = 0
     max_sends: int = 4
+    is_public: bool = False
--- a/bluebellsill/route_interface.py
+++ b/bluebellsill/route_interface.py
@@ -18,9 +18,10 @@
     problem_response,
 )
 from bluebellsill.retry_advice import retry_after
+from bluebellsill.teams import TeamFilter
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Iterable, Sequence
     from random import Random
 
     from bluebellsill.clock import Clock
@@ -47,6 +48,10 @@
         deadline: How many milliseconds the caller waits.
         calling_service: The service of the target that made the call. The
             node sets it and overrides a value that the caller sent.
+        credentials: The key of a team, after ``scheme`` and a space.
+        scheme: The authentication scheme, in the case of the challenge.
+        team: The name of the team. The node sets it and removes a value that
+            the caller sent.
         reserved: Headers from callers that are not forwarded to a target.
         parent_separator: Separates the id of a request from the rest of
             the ids of calls that its target makes on its behalf.
@@ -55,6 +60,9 @@
     request_id: str
     deadline: str
     calling_service: str
+    credentials: str
+    scheme: str
+    team: str
     reserved: frozenset[str]
     parent_separator: str
 
@@ -102,6 +110,7 @@
         quarantine: Quarantine,
         clock: Clock,
         random: Random,
+        may_run_unknown: Callable[[], bool] | None = None,
     ) -> None:
         """Create an interface.
 
@@ -113,20 +122,31 @@
             quarantine: Records the requests that crash targets.
             clock: The time source of deadlines.
             random: Generates ids for requests without one.
+            may_run_unknown: Returns whether the local target may run requests
+                that this node does not know; None if it never does.
         """
         self.filters: Sequence[Filter] = (
             RouteFilter(state, round_robin),
+            TeamFilter(
+                state,
+                names.credentials,
+                names.scheme.lower(),
+                self._may_be_nested,
+            ),
             DeadlineFilter(clock.now, names.deadline),
             QuarantineFilter(quarantine, clock.now),
         )
         state.subscribe(lambda: _retain_splits(state, round_robin))
         self._names = names
+        self._state = state
+        self._may_run_unknown = may_run_unknown
         self._own_service = own_service
         self._clock = clock
         self._random = random
         self._not_forwarded = names.reserved | {
             names.deadline,
             names.calling_service,
+            names.team,
         }
 
     def correlation(self, request: Request) -> str:
@@ -139,14 +159,39 @@
         own_id = request.header(self._names.request_id)
         return own_id.partition(self._names.parent_separator)[0]
 
+    def is_nested(self, request: Request, running_ids: Iterable[str]) -> bool:
+        """Return whether the local target makes a call for a running request.
+
+        Args:
+            request: A request from the target or from a client.
+            running_ids: The ids of the requests that the target runs.
+        """
+        plan = self._state.plan
+        if plan is None or plan.teams is None:
+            return self.parent_id(request) in running_ids
+        # A nested call needs no key, so it must differ from a client's request
+        # that has the same id as a running one.
+        own_id = request.header(self._names.request_id)
+        separator = self._names.parent_separator
+        return not self._has_credentials(request) and any(
+            own_id.startswith(f'{parent}{separator}') for parent in running_ids
+        )
+
     def forwarded_headers(self, inbound: InboundRequest) -> Headers:
-        """Return the headers to forward, with the calling service added."""
+        """Return the headers to forward, with those that the node sets."""
         kept = [
             pair
             for pair in end_to_end_headers(inbound.request.headers)
             if pair[0] not in self._not_forwarded
+            # Some servers do not tell these characters apart.
+            and pair[0].replace('_', '-') != self._names.team
         ]
-        return [*kept, (self._names.calling_service, self._own_service)]
+        kept.append((self._names.calling_service, self._own_service))
+        if inbound.team is not None:
+            # Headers are decoded as Latin-1; the target gets the name in UTF-8.
+            name = inbound.team.name.encode().decode('latin-1')
+            kept.append((self._names.team, name))
+        return kept
 
     def answer(self, inbound: InboundRequest, response: Response) -> Response:
         """Return the target's answer unchanged."""
@@ -160,7 +205,9 @@
     ) -> Response:
         """Return an error response, with a retry time if nothing has run."""
         known = problem.response.run if run is None else run
-        response = problem_response(problem, inbound.correlation, known)
+        response = problem_response(
+            problem, inbound.correlation, known, challenge=self._names.scheme
+        )
         response.headers.append((self._names.request_id, inbound.correlation))
         if known is not RunStatus.NOT_RUN:
             return response
@@ -173,6 +220,19 @@
             response.headers.append(('retry-after', f'{seconds:.3f}'))
         return response
 
+    def _has_credentials(self, request: Request) -> bool:
+        return any(
+            name == self._names.credentials for name, _ in request.headers
+        )
+
+    def _may_be_nested(self, request: Request) -> bool:
+        own_id = request.header(self._names.request_id)
+        return (
+            self._names.parent_separator in own_id
+            and self._may_run_unknown is not None
+            and self._may_run_unknown()
+        )
+
 
 def _retain_splits(
     state: OperatorState, round_robin: WeightedRoundRobin
--- a/bluebellsill/routing_plan.py
+++ b/bluebellsill/routing_plan.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     from bluebellsill.resources import Service
+    from bluebellsill.teams import TeamDirectory
 
 __all__ = ('RoutingPlan',)
 
@@ -23,9 +24,11 @@
         table: The routes by host and path prefix.
         services_by_name: The settings of each service.
         limits: The limits on the size and timing of requests.
+        teams: The teams by their keys, None if requests need no key.
     """
 
     version: int
     table: RouteTable
     services_by_name: dict[str, Service] = field(default_factory=dict)
     limits: RequestLimits = RequestLimits()
+    teams: TeamDirectory | None = None
--- a/bluebellsill/slot_tracker.py
+++ b/bluebellsill/slot_tracker.py
@@ -25,6 +25,11 @@
         """The number of requests that this tracker has not started."""
         return self._untracked or 0
 
+    @property
+    def may_have_untracked(self) -> bool:
+        """Whether the target may run requests that are not tracked."""
+        return self._untracked is None or self._untracked > 0
+
     @property
     def occupied(self) -> int:
         """The number of requests that the target runs, as far as is known."""
--- a/bluebellsill/standins/mesh_target.py
+++ b/bluebellsill/standins/mesh_target.py
@@ -104,6 +104,7 @@
             are never answered, nor is any later one on the same connection.
         works_on: Whether runs go on when their connection is closed, until
             their deadline.
+        records_headers: Whether the log of runs has all headers received.
     """
 
     slowness: float = 1
@@ -115,6 +116,7 @@
     probes_state_load_only: bool = False
     hangs_when_full: bool = False
     works_on: bool = False
+    records_headers: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -294,6 +296,8 @@
                 'deadline_ms': request.header(DEADLINE),
             },
         )
+        if self._behaviour.records_headers:
+            self._run_log[-1]['headers'] = json.encode(request.headers).decode()
         if not self._behaviour.works_on:
             job.reply.on_abandoned = lambda: self._abandon(job)
         if 'call' in job.options:
--- a/bluebellsill/target_runner.py
+++ b/bluebellsill/target_runner.py
@@ -29,7 +29,7 @@
 from bluebellsill.watch_rules import DEFAULT_WATCH_RULES, WatchRules
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
     from bluebellsill.metrics import Metrics
     from bluebellsill.quarantine import Quarantine
@@ -204,12 +204,11 @@
             run.exchange.cancel()
         self._release_slot(run.ticket)
 
-    def is_running(self, correlation: str) -> bool:
-        """Return whether a call with this correlation id is running."""
-        return any(
-            run.call.correlation == correlation and run.ticket.started_at
-            for run in self._runs_by_ticket.values()
-        )
+    def running_ids(self) -> Iterator[str]:
+        """Return the correlation ids of the running calls."""
+        for run in self._runs_by_ticket.values():
+            if run.ticket.started_at:
+                yield run.call.correlation
 
     def refuse_queue(self, kind: ErrorKind) -> None:
         """Refuse every queued call."""
--- a/bluebellsill/target_side.py
+++ b/bluebellsill/target_side.py
@@ -63,12 +63,14 @@
         self._settings = target
         self._was_zone_out = False
         self._log = get_logger('node')
+        self._is_first_start = is_first
+        self._gate = SlotGate(_cold_rate_allowance(settings.enforced_bounds()))
         self.runner = TargetRunner(
             reactor,
             owner,
             quarantine,
             metrics,
-            SlotGate(_cold_rate_allowance(settings.enforced_bounds())),
+            self._gate,
             PlatformDialect(),
             WatchRules(
                 announcement_lifetime=_LOST_AFTER_PERIODS * period,
@@ -91,6 +93,10 @@
             ).handle,
         )
 
+    def may_run_unknown(self) -> bool:
+        """Return whether the target may run calls of an earlier process."""
+        return not self._is_first_start and self._gate.may_have_untracked
+
     def serve(self, server: PeerServer) -> None:
         """Handle the calls that peers send to this target."""
         PeerCalls(self.runner).serve(server)
--- a/bluebellsill/teams/__init__.py
+++ b/bluebellsill/teams/__init__.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from bluebellsill.teams.directory import TeamDirectory
 from bluebellsill.teams.team import Allowance, Team
+from bluebellsill.teams.team_filter import TeamFilter
 
-__all__ = ('Allowance', 'Team')
+__all__ = ('Allowance', 'Team', 'TeamDirectory', 'TeamFilter')
--- a/bluebellsill/teams/team.py
+++ b/bluebellsill/teams/team.py
@@ -6,6 +6,11 @@
 
 __all__ = ('Allowance', 'Team')
 
+# Distance between the priorities of two teams, 2 to the power of 32. Routes of a
+# document differ by less, so the route decides only within a team; the product
+# with a team's importance fits the 64 bits of an integer in a message.
+_TEAM_STEP = 4_294_967_296
+
 
 @dataclass(frozen=True, slots=True)
 class Allowance:
@@ -34,3 +39,7 @@
     name: str
     importance: int = 0
     allowance: Allowance | None = None
+
+    def call_priority(self, route_importance: int) -> int:
+        """Return the priority of its calls on a route."""
+        return self.importance * _TEAM_STEP + route_importance
--- a/demo/mesh_harness.py
+++ b/demo/mesh_harness.py
@@ -166,8 +166,13 @@
         vm.target = Process(command, self.folder / f'{vm.name}-target.log')
         vm.target.read_listening()
 
-    def declare(self, routes: list[dict[str, Any]]) -> None:
-        """Write the next version of the routing document."""
+    def declare(self, routes: list[dict[str, Any]], **fields: Any) -> None:
+        """Write the next version of the routing document.
+
+        Args:
+            routes: The rules of the only host.
+            fields: Further fields of the document.
+        """
         self.version += 1
         services = {route.get('service', '') for route in routes}
         document = {
@@ -177,6 +182,7 @@
                 for name in sorted(services - {''})
             ],
             HOSTS_FIELD: [{'hostname': HOST, RULES_FIELD: routes}],
+            **fields,
         }
         self.operate('PUT', DOCUMENT_KEY, json.dumps(document).encode())
 
@@ -263,19 +269,21 @@
         name: str = '',
         deadline_ms: int = 2000,
         body: bytes = b'',
+        headers: dict[str, str] | None = None,
     ) -> Reply:
         """Send a request to the node of a VM, as a caller."""
-        headers = {
+        all_headers = {
             'Host': HOST,
             REQUEST_ID: name or f'{time.monotonic_ns():x}',
             DEADLINE: str(deadline_ms),
+            **(headers or {}),
         }
         return fetch(
             vm.ports['callers'],
             method,
             path,
             body,
-            headers,
+            all_headers,
             deadline_ms / 1000 + 1,
         )
 
--- /dev/null
+++ b/tests/test_team_path.py
@@ -0,0 +1,218 @@
+"""Keys of teams end to end, with real processes on loopback."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from bluebellsill.platform.headers import CREDENTIALS, REQUEST_ID, TEAM
+from demo.mesh_harness import (
+    HOST,
+    MeshDeployment,
+    Reply,
+    running,
+    wait_until,
+)
+from tests.path_rules import path_rule
+from tests.team_document import tenant
+
+_KEY = 'key-of-club-71d3'
+_SECOND_KEY = 'key-of-club-88aa'
+_OTHER_KEY = 'key-of-den-0f42'
+_UNKNOWN_KEY = 'key-of-nobody-c2'
+_ALL_KEYS = (_KEY, _SECOND_KEY, _OTHER_KEY, _UNKNOWN_KEY)
+_APPLY_SECONDS = 2.5  # until a change of the document is in force
+
+_ROUTES = [
+    path_rule('/shop/', 'shop'),
+    path_rule('/pay/', 'pay', route_type='non_idempotent'),
+    path_rule('/open/', 'shop', public=True),
+]
+
+
+@pytest.fixture
+def deployment(tmp_path: Path) -> Iterator[MeshDeployment]:
+    """Two zones with one target each, and two teams."""
+    with running(tmp_path) as found:
+        for zone, service in (('a', 'shop'), ('b', 'pay')):
+            vm = found.add(zone, service)
+            found.change_target(vm, records_headers=True)
+        _declare(found, tenant('club', _KEY), tenant('den', _OTHER_KEY))
+        wait_until(
+            lambda: all(
+                found.is_ready(vm)
+                and _call(found, vm, '/shop/x').status == 200
+                and _call(found, vm, '/pay/x', method='POST').status == 200
+                for vm in found.vms
+            ),
+            'all nodes serve requests',
+        )
+        yield found
+
+
+def _declare(found: MeshDeployment, *tenants: dict[str, Any]) -> None:
+    found.declare(_ROUTES, tenants=tenants)
+
+
+def _call(
+    found: MeshDeployment,
+    vm: Any,
+    path: str,
+    key: str = _KEY,
+    headers: dict[str, str] | None = None,
+    **options: Any,
+) -> Reply:
+    stated = {CREDENTIALS: f'Token {key}'} if key else {}
+    return found.call(
+        vm, path, headers={**stated, **(headers or {})}, **options
+    )
+
+
+def _received(found: MeshDeployment) -> dict[str, dict[str, str]]:
+    """Return the headers of each request that ran, by its id."""
+    return {
+        line['id']: dict(json.loads(line['headers']))
+        for vm in found.vms
+        for line in found.stats(vm)['log']
+    }
+
+
+def _call_on(connection: http.client.HTTPConnection, key: str) -> int:
+    headers = {
+        'Host': HOST,
+        REQUEST_ID: f'{time.monotonic_ns():x}',
+        CREDENTIALS: f'Token {key}',
+    }
+    connection.request('GET', '/shop/x', headers=headers)
+    response = connection.getresponse()
+    response.read()
+    return response.status
+
+
+def test_targets_are_told_the_team_and_no_key(
+    deployment: MeshDeployment,
+) -> None:
+    first, second = deployment.vms
+    forged = {TEAM: 'den'}
+    nested = '/pay/x?call=/shop/y'
+    for vm, path, name, key, status in (
+        (first, '/shop/x', 'known', _KEY, 200),
+        (second, '/shop/x', 'other', _OTHER_KEY, 200),
+        (first, '/pay/x', 'forged', _KEY, 200),
+        (second, nested, 'parent', _KEY, 200),
+        (first, '/open/x', 'public', '', 200),
+        (first, '/open/x', 'public-unknown', _UNKNOWN_KEY, 200),
+        (first, '/shop/x', 'unknown', _UNKNOWN_KEY, 401),
+        (second, '/pay/x', 'missing', '', 401),
+    ):
+        headers = {} if name in {'known', 'other'} else forged
+        reply = _call(deployment, vm, path, key, headers, name=name)
+        assert reply.status == status, name
+        if status == 401:
+            assert reply.headers['www-authenticate'] == 'Token'
+            assert reply.headers['bluebellsill-run'] == 'not-run'
+    received = _received(deployment)
+    teams = {name: headers.get(TEAM) for name, headers in received.items()}
+    nested_teams = [
+        team for name, team in teams.items() if name.startswith('parent.')
+    ]
+    assert nested_teams == [None]
+    assert teams['known'] == teams['forged'] == teams['parent'] == 'club'
+    assert teams['other'] == 'den'
+    assert teams['public'] is teams['public-unknown'] is None
+    assert not {'unknown', 'missing'} & set(teams)
+    assert not any(CREDENTIALS in headers for headers in received.values())
+    _assert_absent(deployment, received)
+
+
+def _assert_absent(found: MeshDeployment, received: Any) -> None:
+    """Check that no key is in what targets got, in a log or in metrics."""
+    texts = {'received': json.dumps(received)}
+    for vm in found.vms:
+        log = found.folder / f'{vm.name}.log'
+        texts[vm.name] = log.read_text(encoding='utf-8')
+        metrics = http.client.HTTPConnection(vm.ports['metrics'], timeout=5)
+        metrics.request('GET', '/metrics')
+        texts[f'metrics of {vm.name}'] = metrics.getresponse().read().decode()
+        metrics.close()
+    for place, text in texts.items():
+        assert not [key for key in _ALL_KEYS if key in text], place
+    assert 'tenant="club"' in ''.join(texts.values())
+    refusals = [
+        json.loads(line)
+        for vm in found.vms
+        for line in texts[vm.name].splitlines()
+        if '"unauthorized"' in line
+    ]
+    assert {line['correlation'] for line in refusals} >= {'unknown', 'missing'}
+
+
+def test_removed_key_ends_on_open_connections_and_added_key_works(
+    deployment: MeshDeployment,
+) -> None:
+    """A connection that was accepted with a key does not outlive the key."""
+    connections = [
+        http.client.HTTPConnection(vm.ports['callers'], timeout=5)
+        for vm in deployment.vms
+    ]
+    assert {_call_on(one, _KEY) for one in connections} == {200}
+    assert {_call_on(one, _SECOND_KEY) for one in connections} == {401}
+    _declare(deployment, tenant('club', _SECOND_KEY), tenant('den', _OTHER_KEY))
+    time.sleep(_APPLY_SECONDS)
+    assert {_call_on(one, _KEY) for one in connections} == {401}
+    assert {_call_on(one, _SECOND_KEY) for one in connections} == {200}
+    for one in connections:
+        one.close()
+
+
+def test_rejected_document_leaves_the_keys_in_force(
+    deployment: MeshDeployment,
+) -> None:
+    first, second = deployment.vms
+    _declare(deployment, tenant('club', _KEY), tenant('den', _KEY))
+    log = deployment.folder / f'{first.name}.log'
+    wait_until(
+        lambda: 'document ignored' in log.read_text(encoding='utf-8'),
+        'the document was read',
+    )
+    for vm in (first, second):
+        assert _call(deployment, vm, '/shop/x').status == 200
+        assert _call(deployment, vm, '/shop/x', _OTHER_KEY).status == 200
+    assert _KEY not in log.read_text(encoding='utf-8')
+    # Without teams, no key is needed.
+    deployment.declare(_ROUTES)
+    time.sleep(_APPLY_SECONDS)
+    for vm in (first, second):
+        assert _call(deployment, vm, '/shop/x', '').status == 200
+
+
+def test_nested_call_after_a_node_restart_is_not_answered_with_401(
+    deployment: MeshDeployment,
+) -> None:
+    """The node does not know the requests that its predecessor had sent."""
+    vm = deployment.vms[1]
+    deployment.change_target(vm, records_headers=True, works_on=True)
+    parent = http.client.HTTPConnection(vm.ports['callers'], timeout=5)
+    headers = {
+        'Host': HOST,
+        REQUEST_ID: 'parent',
+        CREDENTIALS: f'Token {_KEY}',
+        'bluebellsill-deadline-ms': '9000',
+    }
+    parent.request('GET', '/pay/x?work=6000', headers=headers)
+    wait_until(lambda: 'parent' in _received(deployment), 'the parent runs')
+    deployment.restart_node(vm)
+    wait_until(lambda: deployment.is_ready(vm), 'the node is ready again')
+    statuses = {
+        _call(deployment, vm, '/shop/x', '', name='parent.1').status
+        for _ in range(5)
+    }
+    assert statuses == {503}
+    assert _call(deployment, vm, '/shop/x', '', name='plain').status == 401
+    parent.close()
