Use a real request in the test of a cancelled call

The stand-in for InboundRequest lacked the property importance, which calls now read. InboundRequest itself takes its place; the assertion is unchanged.

--- a/tests/test_outbound_call.py
+++ b/tests/test_outbound_call.py
@@ -8,6 +8,7 @@
 
 from bluebellsill.clock import ManualClock
 from bluebellsill.dispatch import Attempt
+from bluebellsill.filters import InboundRequest
 from bluebellsill.http import Request
 from bluebellsill.messages import Call, Refusal
 from bluebellsill.outbound_call import OutboundCall
@@ -48,17 +49,14 @@
         now=timers.clock.now,
         reactor=SimpleNamespace(timers=timers),
     )
-    inbound: Any = SimpleNamespace(
-        request=Request('PUT', '/x', []),
+    inbound = InboundRequest(
+        Request('PUT', '/x', []),
+        caller='',
+        correlation='a',
+        received_at=0,
         service_name='shop',
         route=Route('r'),
-        is_idempotent=False,
         fingerprint=1,
-        correlation='a',
-        scoped_key='',
-        granted_by=[],
-        caller='',
-        first_attempt_at=0,
     )
     runner: Any = _Runner()
     call = OutboundCall(
