--- a/tests/test_team_path.py
+++ b/tests/test_team_path.py
@@ -216,3 +216,19 @@
     assert statuses == {503}
     assert _call(deployment, vm, '/shop/x', '', name='plain').status == 401
     parent.close()
+
+
+def test_request_without_a_key_is_refused_once_the_target_is_known_idle(
+    deployment: MeshDeployment,
+) -> None:
+    """503 asks for a retry, which must not go on for ever."""
+    vm = deployment.vms[0]
+    deployment.restart_node(vm)
+    wait_until(lambda: deployment.is_ready(vm), 'the node is ready again')
+    wait_until(
+        lambda: (
+            _call(deployment, vm, '/shop/x', '', name='idle.1').status == 401
+        ),
+        'the node knows that its target runs nothing else',
+        3,
+    )
