Send large request bodies only to nodes that have accepted the call

Cause: a call was sent with its whole body to each node that then refused it, on the connection that also carries heartbeats and all other calls. On a slow link the heartbeat waited behind bodies for more than 0.5 s and the link was closed as silent, with every call on it.

Change: a call with a body of more than 8 KiB states the size only. The target's node checks it and offers it to the gate as before; once it is admitted or queued, it asks for the body (BodyRequest), which comes in pieces of 16 KiB on a second connection between the two nodes, at most 64 KiB of it at a time. An admitted call keeps its slot meanwhile, and a queued one its place. If the body does not come (2 s without a piece, the deadline, a cancel, the end of either connection), both are freed. The entry node treats a call whose body it has not sent completely as not run: it may be sent elsewhere, and ends with 503. A peer tells in its answer to Hello that it knows these messages; others get the body in the call.

A heartbeat's timeout starts anew while bytes ahead of it are delivered or any arrive, so a link that makes progress is not silent.

--- a/bluebellsill/caller_side.py
+++ b/bluebellsill/caller_side.py
@@ -86,7 +86,7 @@
             members.own.id,
             self._interface,
             placement,
-            peers.links,
+            peers.call_links,
             runner,
             metrics,
             avoids_queues=True,
--- a/bluebellsill/errors.py
+++ b/bluebellsill/errors.py
@@ -52,6 +52,7 @@
     TARGET_OUT = 'target_out'
     LEAVING = 'leaving'
     TARGET_FAILING = 'target_failing'
+    BODY_NOT_SENT = 'body_not_sent'
     STALE = 'stale'
     EXPIRED = 'expired'
     QUARANTINED = 'quarantined'
@@ -117,6 +118,7 @@
     ErrorKind.TARGET_OUT: _RETRYABLE_ELSEWHERE,
     ErrorKind.LEAVING: _RETRYABLE_ELSEWHERE,
     ErrorKind.TARGET_FAILING: _RETRYABLE_ELSEWHERE,
+    ErrorKind.BODY_NOT_SENT: _RETRYABLE_ELSEWHERE,
     ErrorKind.STALE: _RETRYABLE_ELSEWHERE,
     ErrorKind.EXPIRED: ErrorResponse(HTTPStatus.GATEWAY_TIMEOUT),
     ErrorKind.QUARANTINED: ErrorResponse(
--- a/bluebellsill/gateway.py
+++ b/bluebellsill/gateway.py
@@ -22,10 +22,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from bluebellsill.body_transfer import CallLinks
     from bluebellsill.caller_interface import CallerInterface
     from bluebellsill.keyed_call import KeyHolderClient
     from bluebellsill.metrics import Metrics
-    from bluebellsill.peers import PeerLinks
     from bluebellsill.router_registry import RouterRegistry
     from bluebellsill.target_runner import TargetRunner
 
@@ -54,7 +54,7 @@
         own_id: str,
         interface: CallerInterface,
         router_registry: RouterRegistry,
-        links: PeerLinks,
+        links: CallLinks,
         runner: TargetRunner,
         metrics: Metrics,
         key_holders: KeyHolderClient | None = None,
@@ -135,12 +135,14 @@
     def fail_open_calls(self) -> None:
         """Answer every call that has no outcome yet, as the process ends.
 
-        Each of them has been sent to a target's node, so it may have run.
+        One that has been sent completely to a target's node may have run.
         """
-        problem = _stopping_problem(ErrorKind.OUTCOME_UNKNOWN)
         for reply, one in tuple(self._open_calls_by_reply.items()):
+            kind = ErrorKind.OUTCOME_UNKNOWN
+            if one.call.has_not_run:
+                kind = ErrorKind.LEAVING
             one.call.cancel()
-            self._respond(one.inbound, reply, problem)
+            self._respond(one.inbound, reply, _stopping_problem(kind))
 
     def _handle_plain(self, inbound: InboundRequest, reply: Reply) -> None:
         call = self._make_call(
--- a/bluebellsill/mesh_node.py
+++ b/bluebellsill/mesh_node.py
@@ -255,6 +255,12 @@
             store_epoch=lambda: self._store.epoch,
             members=lambda: len(self._peers.members.live()),
             links=lambda: len(self._peers.links),
+            body_links=lambda: len(self._peers.call_links.body_links),
+            body_bytes_held=lambda: (
+                self._peers.call_links.held_bytes
+                + self._target_side.bodies.held_bytes
+            ),
+            **self._peers.call_links.gauges(),
             gossip_bytes_sent=lambda: self._peers.gossip.bytes_sent,
             in_flight=lambda: self._caller_side.gateway.in_flight,
             at_target=lambda: self._runner.in_flight,
--- a/bluebellsill/messages.py
+++ b/bluebellsill/messages.py
@@ -19,6 +19,9 @@
 
 __all__ = (
     'Answer',
+    'BodyPiece',
+    'BodyProgress',
+    'BodyRequest',
     'Call',
     'Cancel',
     'Claim',
@@ -57,11 +60,14 @@
         incarnation: The incarnation of that node.
         compresses: Whether all following data in both directions is
             compressed.
+        transfers_bodies: Whether the sender knows ``BodyRequest``. A node
+            that knows it answers with a ``Hello`` of its own.
     """
 
     member_id: str
     incarnation: int
     compresses: bool = False
+    transfers_bodies: bool = False
 
 
 class Heartbeat(WireMessage, frozen=True, tag=2):
@@ -105,7 +111,7 @@
         method: The HTTP method.
         path: The HTTP request target.
         headers: The end-to-end headers.
-        body: The complete body.
+        body: The complete body, empty if the receiver has to ask for it.
         budget_ms: Milliseconds until the caller stops waiting.
         priority: Calls of lower priority are shed first.
         is_idempotent: Whether it is safe to run the request twice.
@@ -123,6 +129,9 @@
             node. A call that may not wait is tried on other nodes first.
         note: What the target stated last to the entry node, None without a
             limit.
+        body_size: The bytes of a body that the receiver asks for with
+            ``BodyRequest`` once it has accepted the call; 0 if the call has
+            its body. The call does not run without it.
     """
 
     id: int
@@ -143,6 +152,7 @@
     is_inner: bool = False
     may_wait: bool = True
     note: TargetNote | None = None
+    body_size: int = 0
 
 
 class Answer(WireMessage, frozen=True, tag=5):
@@ -328,6 +338,52 @@
     cleared: list[int]
 
 
+class BodyRequest(WireMessage, frozen=True, tag=17):
+    """Asks for the body of a call that was admitted or waits in the queue.
+
+    Attributes:
+        id: Identifies the call on its connection.
+        transfer: Identifies the transfer of the body at the sender of this
+            message, on the connection for bodies.
+        limit: Bytes of the body that may be sent before the first
+            ``BodyProgress``.
+    """
+
+    id: int
+    transfer: int
+    limit: int
+
+
+class BodyPiece(WireMessage, frozen=True, tag=18):
+    """Carries the next bytes of a body on the connection for bodies.
+
+    Attributes:
+        id: The transfer that the body was requested with.
+        offset: The bytes of the body before this piece.
+        piece: The bytes.
+    """
+
+    id: int
+    offset: int
+    piece: bytes
+
+
+class BodyProgress(WireMessage, frozen=True, tag=19):
+    """Tells how much of a body has arrived.
+
+    Attributes:
+        id: The transfer that the body was requested with.
+        received: The bytes that have arrived.
+        limit: Bytes of the body that may be sent before the next
+            ``BodyProgress``.
+    """
+
+    id: int
+    received: int
+    limit: int
+
+
+_BodyMessage = BodyRequest | BodyPiece | BodyProgress
 Message = (
     Hello
     | Heartbeat
@@ -345,6 +401,7 @@
     | ZoneReportRequest
     | ZoneReport
     | CrashReport
+    | _BodyMessage
     | Ping
     | Ack
     | PingRequest
--- a/bluebellsill/node.py
+++ b/bluebellsill/node.py
@@ -14,6 +14,7 @@
 from bluebellsill._signals import handle_signals
 from bluebellsill.acceptance import Acceptance
 from bluebellsill.balancing_policy import make_balancing_policy
+from bluebellsill.body_transfer import BodyReceiver
 from bluebellsill.caller_interface import NativeInterface
 from bluebellsill.clock import SystemClock
 from bluebellsill.configuration import Configuration
@@ -241,7 +242,7 @@
                 ),
                 RetryBudget,
             ),
-            self._links,
+            self._peers.call_links,
             self._runner,
             self._metrics,
             self._keys,
@@ -262,7 +263,8 @@
             self._on_caller_request,
         )
         server = self._peers.server
-        PeerCalls(self._runner, self._keys).serve(server)
+        bodies = BodyReceiver(self._timers, self._metrics)
+        PeerCalls(self._runner, bodies, self._keys).serve(server)
         server.on(CrashReport, self._crashes.on_report)
         server.on(ZoneReportRequest, self._rollouts.on_request)
         self._timers.every(_OBSERVE_PERIOD, self._keys.observe)
--- a/bluebellsill/outbound_call.py
+++ b/bluebellsill/outbound_call.py
@@ -9,13 +9,14 @@
 from bluebellsill.errors import ErrorKind, Problem
 from bluebellsill.http import Headers, Response
 from bluebellsill.logs import get_logger
-from bluebellsill.messages import Answer, Call, Cancel, Failure, Refusal
-from bluebellsill.peers import LinkLost, PeerLinks
+from bluebellsill.messages import Answer, Call, Failure, Refusal
+from bluebellsill.peers import LinkLost
 from bluebellsill.resources import EXTERNAL_CALLER
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from bluebellsill.body_transfer import CallLinks
     from bluebellsill.filters import InboundRequest
     from bluebellsill.runs import Run
     from bluebellsill.target_runner import TargetRunner
@@ -44,7 +45,7 @@
         self,
         inbound: InboundRequest,
         dispatch: Dispatch,
-        links: PeerLinks,
+        links: CallLinks,
         runner: TargetRunner,
         own_id: str,
         headers: Headers,
@@ -82,6 +83,14 @@
         self._held_outcome: Response | Problem | None = None
         self.node_id = ''
 
+    @property
+    def has_not_run(self) -> bool:
+        """Whether the call certainly has not run at any target so far."""
+        is_unsent = self._links.is_unsent(self._request_id)
+        return (
+            is_unsent and self._hedge is None and not self.dispatch.may_have_run
+        )
+
     def start(self) -> None:
         """Send the first attempt."""
         self._apply(self.dispatch.start())
@@ -195,8 +204,8 @@
             kind = ErrorKind.TARGET_FAILED
             self._apply(self.dispatch.on_failure(kind, message))
         else:
-            # The connection was never established, so the node cannot have
-            # received the call.
+            # The node cannot have received the complete call: the connection
+            # was never established, or a part of the body was not sent.
             self._apply(self.dispatch.on_refusal(ErrorKind.NO_TARGET, 1, 1))
 
     def _on_answer(self, answer: Answer) -> None:
@@ -258,6 +267,11 @@
             self._hedge = None
 
     def _on_timeout(self) -> None:
+        if self._links.is_unsent(self._request_id):
+            self._end_attempt(is_cancelled=True)
+            kind = ErrorKind.BODY_NOT_SENT
+            self._apply(self.dispatch.on_refusal(kind, 1, 1))
+            return
         self._end_attempt(is_cancelled=self._inbound.is_idempotent)
         message = f'no reply from {self.node_id} within the time budget'
         self._apply(self.dispatch.on_failure(ErrorKind.TIMED_OUT, message))
@@ -275,8 +289,7 @@
             if run is not None:
                 self._runner.cancel(run)
             return
-        self._links.forget(self.node_id, request_id)
-        self._links.send(self.node_id, Cancel(request_id))
+        self._links.cancel(self.node_id, request_id)
 
     def _finish(self, outcome: Response | Problem) -> None:
         if self._hedge is not None and not _is_served(outcome):
--- a/bluebellsill/peer_stack.py
+++ b/bluebellsill/peer_stack.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from bluebellsill._binding import bind_peers
+from bluebellsill.body_transfer import CallLinks
 from bluebellsill.gossip_messages import Member
 from bluebellsill.gossip_task import GossipTask
 from bluebellsill.membership import Members, MemberState
@@ -88,19 +89,32 @@
             load,
         )
         self.gossip.on_message = self.gossip_task.on_message
-        self.links = PeerLinks(
-            reactor,
-            self._hello,
-            self.gossip_task.verify,
+        self.server.hello = lambda: self._hello('')
+        verify = self.gossip_task.verify
+        self.links = PeerLinks(reactor, self._hello, verify)
+        self._call_links = CallLinks(
+            self.links,
+            PeerLinks(reactor, lambda _: self._hello(''), verify),
         )
         replicator = RevisionReplicator(replica, self.links)
         self.gossip_task.on_version = replicator.on_peer_version
         self.server.on(RevisionRequest, replicator.on_request)
 
+    @property
+    def call_links(self) -> CallLinks:
+        """Sends calls to other nodes, with further links for large bodies."""
+        return self._call_links
+
     def _hello(self, peer: str) -> Hello:
+        """Return the first message to a peer, the empty string for any."""
         own = self.members.own
         known = self.members.by_id.get(peer)
         # Traffic is charged for between zones only, so only there is it worth
         # compressing.
         is_in_other_zone = known is not None and known.zone != own.zone
-        return Hello(own.id, own.incarnation, is_in_other_zone)
+        return Hello(
+            own.id,
+            own.incarnation,
+            is_in_other_zone,
+            transfers_bodies=True,
+        )
--- a/bluebellsill/peers.py
+++ b/bluebellsill/peers.py
@@ -8,6 +8,8 @@
 
 from bluebellsill.frames import CompressedFrames, PlainFrames
 from bluebellsill.messages import (
+    BodyProgress,
+    BodyRequest,
     Heartbeat,
     HeartbeatReply,
     Hello,
@@ -28,6 +30,8 @@
 _HEARTBEAT_AFTER = 0.2  # seconds without traffic until a heartbeat is sent
 _HEARTBEAT_TIMEOUT = 0.5  # seconds to wait for the reply to a heartbeat
 _IDLE_LIFETIME = 60  # seconds without a request until a link is closed
+# Messages about a request whose reply is still to come.
+_INTERIM = (BodyRequest, BodyProgress)
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +59,7 @@
         self.stream: Stream
         self.member_id = ''
         self.on_cancel_by_id: dict[int, Callable[[], None]] = {}
+        self.received_bytes = 0
         self._on_message = on_message
         self._on_end = on_end
         self._received = bytearray()
@@ -74,6 +79,7 @@
     def on_bytes(self, chunk: bytes) -> None:
         """Handle every complete message received so far."""
         self._received += chunk
+        self.received_bytes += len(chunk)
         try:
             self._handle_received()
         except MessageError as error:
@@ -93,7 +99,12 @@
 
 
 class PeerServer:
-    """Accepts connections of other nodes and dispatches their messages."""
+    """Accepts connections of other nodes and dispatches their messages.
+
+    Attributes:
+        hello: Returns the answer to a ``Hello`` whose sender transfers
+            bodies; None if this node does not.
+    """
 
     def __init__(self, reactor: Reactor, address: Address) -> None:
         """Bind and listen.
@@ -105,6 +116,7 @@
             type,
             Callable[[PeerConnection, Any], None],
         ] = {}
+        self.hello: Callable[[], Hello] | None = None
         self._connections: set[PeerConnection] = set()
         self._listener = Listener(reactor, address, self._on_accepted)
         self.address = self._listener.address
@@ -137,6 +149,8 @@
             connection.member_id = message.member_id
             if message.compresses:
                 connection.compress()
+            if message.transfers_bodies and self.hello is not None:
+                connection.send(self.hello())
             return
         handle = self._handlers_by_type.get(type(message))
         if handle is None:
@@ -158,6 +172,11 @@
         self.last_received_at = now
         self.last_used_at = now
         self.heartbeat_sent_at: float | None = None
+        # None until the peer has sent its first message.
+        self._transfers_bodies: bool | None = None
+        self._on_known: list[Callable[[bool | LinkLost], None]] = []
+        self._heartbeat_end = 0  # bytes sent up to the latest heartbeat
+        self._seen_progress = (0, 0)
         self.pending: dict[int, Callable[[Message | LinkLost], None]] = {}
         self.connection = PeerConnection(self._on_message, self._on_end)
         self._links = links
@@ -168,34 +187,93 @@
             self.connection,
         )
 
+    @property
+    def is_awaited(self) -> bool:
+        """Whether something that the peer has to send is awaited."""
+        return bool(self.pending or self._on_known)
+
     def check(self, now: float) -> None:
         """Send a heartbeat to a quiet peer, close the link to a silent one.
 
         A link without requests in flight is closed once it was idle too long.
         """
-        if not self.pending:
+        if not self.is_awaited:
             if now - self.last_used_at > _IDLE_LIFETIME:
                 self.connection.stream.lose('idle')
             return
         if self.heartbeat_sent_at is not None:
-            if now - self.heartbeat_sent_at > _HEARTBEAT_TIMEOUT:
+            if self._makes_progress():
+                self.heartbeat_sent_at = now
+            elif now - self.heartbeat_sent_at > _HEARTBEAT_TIMEOUT:
                 self.connection.stream.lose('silent')
         elif (
             now - max(self.last_received_at, self.last_used_at)
             > _HEARTBEAT_AFTER
         ):
-            self.heartbeat_sent_at = now
-            self.connection.send(Heartbeat(0))
+            self._send_heartbeat(now)
+
+    def learn_support(
+        self, on_known: Callable[[bool | LinkLost], None], now: float
+    ) -> None:
+        """Find out whether the peer transfers bodies.
+
+        A node that does answers the ``Hello`` before anything else, so the
+        first message of any other kind shows that the peer does not.
+        """
+        if self._transfers_bodies is not None:
+            on_known(self._transfers_bodies)
+            return
+        self._on_known.append(on_known)
+        if self.heartbeat_sent_at is None:
+            self._send_heartbeat(now)
+
+    def _send_heartbeat(self, now: float) -> None:
+        self.heartbeat_sent_at = now
+        self.connection.send(Heartbeat(0))
+        self._heartbeat_end = self.connection.stream.queued_bytes
+        self._seen_progress = self._progress()
+
+    def _progress(self) -> tuple[int, int]:
+        connection = self.connection
+        return connection.received_bytes, connection.stream.delivered_bytes
+
+    def _makes_progress(self) -> bool:
+        """Return whether the heartbeat or its reply still waits behind data.
+
+        Bytes delivered ahead of the heartbeat count, but not the heartbeat
+        itself: the host of a peer that hangs accepts it, too.
+        """
+        progress = self._progress()
+        has_received = progress[0] > self._seen_progress[0]
+        has_delivered = progress[1] > self._seen_progress[1]
+        self._seen_progress = progress
+        is_queued = progress[1] < self._heartbeat_end
+        return has_received or (has_delivered and is_queued)
 
     def _on_message(self, connection: PeerConnection, message: Message) -> None:
         self.last_received_at = self._links.now()
         self.heartbeat_sent_at = None
-        if isinstance(message, HeartbeatReply):
+        if self._transfers_bodies is None:
+            self._report_support(
+                isinstance(message, Hello) and message.transfers_bodies
+            )
+        if isinstance(message, Hello | HeartbeatReply):
             return
-        on_reply = self.pending.pop(getattr(message, 'id', 0), None)
+        request_id = getattr(message, 'id', 0)
+        if isinstance(message, _INTERIM):
+            on_reply = self.pending.get(request_id)
+        else:
+            on_reply = self.pending.pop(request_id, None)
         if on_reply is not None:
             on_reply(message)
 
+    def _report_support(self, support: bool | LinkLost) -> None:
+        self._transfers_bodies = support is True
+        waiting = tuple(self._on_known)
+        self._on_known.clear()
+        for on_known in waiting:
+            on_known(support)
+
     def _on_end(self, connection: PeerConnection, reason: str) -> None:
         self._links.discard(self._address, self)
         lost = LinkLost(reason, is_sent=connection.stream.is_connected)
@@ -203,6 +281,7 @@
         self.pending.clear()
         for on_reply in pending:
             on_reply(lost)
+        self._report_support(LinkLost(reason, is_sent=False))
 
 
 class PeerLinks:
@@ -258,6 +337,20 @@
         link.pending[message.id] = on_reply
         link.connection.send(message)
 
+    def learn_support(
+        self,
+        peer: str,
+        on_known: Callable[[bool | LinkLost], None],
+    ) -> None:
+        """Find out whether a peer transfers bodies.
+
+        Args:
+            peer: The peer's address.
+            on_known: Called once, now or later, with the finding, or with
+                ``LinkLost`` if the connection ends before.
+        """
+        self._link(peer).learn_support(on_known, self.now())
+
     def send(self, peer: str, message: Message) -> None:
         """Send a message that has no reply."""
         self._link(peer).connection.send(message)
@@ -272,7 +365,7 @@
         """Remove a link that has ended."""
         if self._links_by_address.get(address) is link:
             del self._links_by_address[address]
-        if link.pending:
+        if link.is_awaited:
             self._on_silent(str(address))
 
     def close(self) -> None:
--- a/bluebellsill/runs.py
+++ b/bluebellsill/runs.py
@@ -4,18 +4,20 @@
 
 from typing import TYPE_CHECKING, Protocol
 
+from msgspec import structs
+
 from bluebellsill.admission import Ticket
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable, Iterator
 
     from bluebellsill.errors import ErrorKind
     from bluebellsill.http_exchange import Exchange
     from bluebellsill.messages import Answer, Call, Failure, Refusal
     from bluebellsill.resources import Service
-    from bluebellsill.timers import Timer
+    from bluebellsill.timers import Timer, TimerService
 
-__all__ = ('Run', 'TargetOwner', 'make_ticket')
+__all__ = ('Run', 'TargetOwner', 'make_ticket', 'runs_of')
 
 _MS_PER_SECOND = 1000
 
@@ -43,6 +45,7 @@
     """One call at the target's node, from admission to response."""
 
     __slots__ = (
+        '_has_slot',
         'call',
         'exchange',
         'has_failed_below',
@@ -65,6 +68,44 @@
         # Due when the call may have waited too long.
         self.queue_timers: list[Timer] = []
         self.has_failed_below = False
+        self._has_slot = False
+
+    @property
+    def awaits_body(self) -> bool:
+        """Whether the body has not arrived yet."""
+        return self.call.body_size > 0
+
+    @property
+    def is_started(self) -> bool:
+        """Whether the call was passed on to the target."""
+        return bool(self.ticket.started_at) and not self.awaits_body
+
+    def on_admitted(self) -> bool:
+        """Record that the call has a slot.
+
+        Returns:
+            Whether it can start now. A call without its body cannot.
+        """
+        self._has_slot = True
+        return not self.awaits_body
+
+    def on_body(self, body: bytes) -> bool:
+        """Complete the call with its body.
+
+        Returns:
+            Whether the call has a slot, so that it can start now.
+        """
+        self.call = structs.replace(self.call, body=body, body_size=0)
+        return self._has_slot
+
+    def join_queue(
+        self, timers: TimerService, on_due: Callable[[], None]
+    ) -> None:
+        """Call ``on_due`` when the call may have waited too long."""
+        now = timers.clock.now()
+        for due_at in (self.ticket.leaves_queue_at, self.ticket.expires_at):
+            timer = timers.after(max(0, due_at - now), on_due)
+            self.queue_timers.append(timer)
 
     def leave_queue(self) -> None:
         """Cancel the timers of the wait, which may be due much later."""
@@ -82,3 +123,8 @@
     ticket.is_inner = call.is_inner
     ticket.may_wait = call.may_wait
     return ticket
+
+
+def runs_of(correlation: str, runs: Iterable[Run]) -> Iterator[Run]:
+    """Yield the runs of the calls with a correlation id."""
+    return (run for run in runs if run.call.correlation == correlation)
--- a/bluebellsill/streams.py
+++ b/bluebellsill/streams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from errno import EINPROGRESS
+from fcntl import ioctl
 from socket import (
     AF_INET,
     IPPROTO_TCP,
@@ -13,6 +14,8 @@
     TCP_NODELAY,
     socket,
 )
+from struct import Struct
+from termios import TIOCOUTQ
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 if TYPE_CHECKING:
@@ -25,6 +28,7 @@
 _READ_SIZE = 262144  # bytes
 _BACKLOG = 512  # connections that the kernel queues until they are accepted
 _MAX_PORT = 65535
+_INT = Struct('i')  # the result of ``TIOCOUTQ``
 
 
 class Address(NamedTuple):
@@ -87,6 +91,7 @@
         self._reactor = reactor
         self._socket = sock
         self._unsent = bytearray()
+        self.queued_bytes = 0  # passed to ``send`` so far
         sock.setblocking(False)
         sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
 
@@ -122,6 +127,7 @@
         """Write what the socket accepts immediately and queue the remainder."""
         if self.is_closed:
             return
+        self.queued_bytes += len(payload)
         if self._unsent or not self.is_connected:
             self._unsent += payload
             return
@@ -141,6 +147,15 @@
         """The number of queued bytes."""
         return len(self._unsent)
 
+    @property
+    def delivered_bytes(self) -> int:
+        """The number of bytes that the other host has acknowledged."""
+        if self.is_closed:
+            return 0
+        buffer = ioctl(self._socket, TIOCOUTQ, bytes(_INT.size))
+        unacknowledged = int(_INT.unpack(buffer)[0])
+        return self.queued_bytes - len(self._unsent) - unacknowledged
+
     def close(self) -> None:
         """Close without notifying the owner; idempotent."""
         if self.is_closed:
--- a/bluebellsill/target_runner.py
+++ b/bluebellsill/target_runner.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
 from msgspec import structs
@@ -15,8 +14,9 @@
 from bluebellsill.http import Request, Response
 from bluebellsill.http_exchange import HttpFailure
 from bluebellsill.messages import Answer, Call, Failure, Refusal
+from bluebellsill.outcome_recorder import OutcomeRecorder, is_error
 from bluebellsill.reply_builder import ReplyBuilder
-from bluebellsill.runs import Run, TargetOwner, make_ticket
+from bluebellsill.runs import Run, TargetOwner, make_ticket, runs_of
 from bluebellsill.slowness_meter import SlownessMeter
 from bluebellsill.target_dialect import (
     NativeDialect,
@@ -38,12 +38,6 @@
 
 __all__ = ('TargetRunner',)
 
-# Statuses that do not count as target failures: the deadline was too short,
-# or the target was overloaded.
-_NON_FAILURE_STATUSES = frozenset(
-    (HTTPStatus.GATEWAY_TIMEOUT, HTTPStatus.SERVICE_UNAVAILABLE),
-)
-
 
 class TargetRunner:
     """Admits calls to the target and tracks them until they end.
@@ -85,6 +79,7 @@
             self._dialect, self._clock, self._on_directive
         )
         self.breaker = Breaker()
+        self._outcomes = OutcomeRecorder(self.breaker, self.gate, self._clock)
         self.watch = TargetWatch(
             reactor,
             TargetWatchEvents(self, owner),
@@ -176,10 +171,7 @@
         if decision is Decision.RUN:
             self._dispatch(run)
         else:
-            for due_at in (ticket.leaves_queue_at, ticket.expires_at):
-                left = max(0, due_at - now)
-                timer = self._reactor.timers.after(left, self._expire_queue)
-                run.queue_timers.append(timer)
+            run.join_queue(self._reactor.timers, self._expire_queue)
             self._expire_queue()
             self._schedule_admission(now)
             self._slowness_meter.start()
@@ -197,7 +189,7 @@
             del self._runs_by_ticket[run.ticket]
             run.leave_queue()
             return
-        if not run.call.is_idempotent:
+        if not run.call.is_idempotent and not run.awaits_body:
             return
         del self._runs_by_ticket[run.ticket]
         if run.exchange is not None:
@@ -206,15 +198,34 @@
 
     def is_running(self, correlation: str) -> bool:
         """Return whether a call with this correlation id is running."""
-        return any(
-            run.call.correlation == correlation and run.ticket.started_at
-            for run in self._runs_by_ticket.values()
-        )
+        runs = runs_of(correlation, self._runs_by_ticket.values())
+        return any(run.is_started for run in runs)
 
     def refuse_queue(self, kind: ErrorKind) -> None:
-        """Refuse every queued call."""
+        """Refuse every call that is queued or awaits its body."""
         for ticket in self.gate.drop_queue():
             self._respond_refused(ticket, kind)
+        for run in tuple(self._runs_by_ticket.values()):
+            if run.awaits_body:
+                self.refuse_without_body(run, kind)
+
+    def on_body(self, run: Run, body: bytes) -> None:
+        """Complete a call with its body; start it if it has a slot."""
+        if not run.on_body(body):
+            return
+        kind = _no_target_reason(run.call, self.watch) or self._owner.refusal()
+        if kind is None:
+            run.ticket.started_at = self._clock.now()
+            self._dispatch(run)
+        else:
+            self._respond_refused(run.ticket, kind)
+            self._release_slot(run.ticket)
+
+    def refuse_without_body(self, run: Run, kind: ErrorKind) -> None:
+        """Refuse a call whose body has not arrived, and free its slot."""
+        if run.ticket in self._runs_by_ticket:
+            self.cancel(run)
+            run.respond(self._replies.refusal(run.call, kind))
 
     def on_downstream_failure(self, correlation: str) -> None:
         """Mark a run whose downstream call to another service has failed.
@@ -222,9 +233,8 @@
         Args:
             correlation: The correlation id of the run.
         """
-        for run in self._runs_by_ticket.values():
-            if run.call.correlation == correlation:
-                run.has_failed_below = True
+        for run in runs_of(correlation, self._runs_by_ticket.values()):
+            run.has_failed_below = True
 
     def close(self) -> None:
         """Close every connection to the target."""
@@ -253,7 +263,7 @@
     def _refusal(self, call: Call, now: float) -> ErrorKind | None:
         if call.note is not None:
             self.directives.adopt(call.note)
-        kind = self._no_target_reason(call)
+        kind = _no_target_reason(call, self.watch)
         if kind is not None:
             return kind
         if self._quarantine.is_refused(call.fingerprint, now):
@@ -265,15 +275,6 @@
             return ErrorKind.TARGET_FAILING
         return kind
 
-    def _no_target_reason(self, call: Call) -> ErrorKind | None:
-        """Return why no target can take the call, or None if one can."""
-        announcement = self.announcement
-        if announcement is None or announcement.service != call.service:
-            return ErrorKind.NO_TARGET
-        if announcement.is_leaving:
-            return ErrorKind.LEAVING
-        return None if self.watch.is_ready else ErrorKind.NO_TARGET
-
     def _respond_refused(self, ticket: Ticket, kind: ErrorKind) -> None:
         run = self._runs_by_ticket.pop(ticket, None)
         if run is not None:
@@ -282,6 +283,8 @@
 
     def _dispatch(self, run: Run) -> None:
         run.leave_queue()
+        if not run.on_admitted():
+            return
         call = run.call
         pool = self.watch.pool
         announcement = self.announcement
@@ -327,10 +330,10 @@
             refusal = self._replies.refusal(call, rejection, has_arrived=True)
             run.respond(refusal)
             return
-        has_failed_below = run.has_failed_below and _is_error(response)
+        has_failed_below = run.has_failed_below and is_error(response)
         # A failure of a downstream service says nothing about this target.
         if not has_failed_below:
-            self._record_outcome(run.ticket, response)
+            self._outcomes.record(run.ticket, response)
         if self._quarantine.on_answer(call.fingerprint):
             self._owner.on_cleared(call.fingerprint)
         run.respond(
@@ -341,17 +344,6 @@
             ),
         )
 
-    def _record_outcome(self, ticket: Ticket, response: Response) -> None:
-        """Update the breaker and admission control from a response."""
-        now = self._clock.now()
-        if not _is_error(response):
-            self.breaker.on_success(now)
-            self.gate.on_answer(ticket, now)
-        elif response.status not in _NON_FAILURE_STATUSES:
-            self.breaker.on_failure(now)
-        if response.status == HTTPStatus.SERVICE_UNAVAILABLE:
-            self.gate.on_overload()
-
     def _on_failed(self, run: Run, failure: HttpFailure) -> None:
         call = run.call
         if failure.is_timeout:
@@ -367,7 +359,7 @@
         others = self._runs_by_ticket.values()
         fingerprints = [
             call.fingerprint,
-            *(one.call.fingerprint for one in others if one.ticket.started_at),
+            *(one.call.fingerprint for one in others if one.is_started),
         ]
         self.gate.on_overload()
         # The failure is sent only after the other nodes were told of a crash.
@@ -403,5 +395,11 @@
             self._respond_refused(ticket, ErrorKind.OVERLOADED)
 
 
-def _is_error(response: Response) -> bool:
-    return response.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+def _no_target_reason(call: Call, watch: TargetWatch) -> ErrorKind | None:
+    """Return why no target can take the call, or None if one can."""
+    announcement = watch.announcement
+    if announcement is None or announcement.service != call.service:
+        return ErrorKind.NO_TARGET
+    if announcement.is_leaving:
+        return ErrorKind.LEAVING
+    return None if watch.is_ready else ErrorKind.NO_TARGET
--- a/bluebellsill/target_side.py
+++ b/bluebellsill/target_side.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from bluebellsill.announcement import Announcement
+from bluebellsill.body_transfer import BodyReceiver
 from bluebellsill.errors import ErrorKind
 from bluebellsill.http_server import HttpServer
 from bluebellsill.logs import get_logger
@@ -42,6 +43,7 @@
 
     Attributes:
         runner: Sends every request to the target.
+        bodies: Receives the bodies of the calls of other nodes.
     """
 
     def __init__(
@@ -79,6 +81,7 @@
                 else _CONFIRM_AFTER_PERIODS * period,
             ),
         )
+        self.bodies = BodyReceiver(reactor.timers, metrics)
         self._report_filter = ReportFilter()
         self._report_server = HttpServer(
             reactor,
@@ -93,7 +96,7 @@
 
     def serve(self, server: PeerServer) -> None:
         """Handle the calls that peers send to this target."""
-        PeerCalls(self.runner).serve(server)
+        PeerCalls(self.runner, self.bodies).serve(server)
 
     def discover_target(self) -> None:
         """Probe the target, to find it before its next report."""
--- a/tests/node_session.py
+++ b/tests/node_session.py
@@ -18,6 +18,7 @@
 from bluebellsill.acceptance import Acceptance
 from bluebellsill.announcement import Announcement
 from bluebellsill.balancing_policy import TwoChoices
+from bluebellsill.body_transfer import CallLinks
 from bluebellsill.caller_interface import NativeInterface
 from bluebellsill.change_records import Change
 from bluebellsill.clock import ManualClock
@@ -107,6 +108,9 @@
             lambda _: Hello(OWN, 1),
             lambda peer: self.record(f'node suspects {peer}'),
         )
+        self.body_links = PeerLinks(
+            self.reactor, lambda _: Hello(OWN, 1), lambda _: None
+        )
         self.crashes = CrashReplicator(self.members, self.links, quarantine)
         self.runner = TargetRunner(self.reactor, self, quarantine, metrics)
         self.keys = KeyRegistry(
@@ -137,7 +141,7 @@
                 lambda: TwoChoices(random, self.members.own.zone),
                 RetryBudget,
             ),
-            self.links,
+            CallLinks(self.links, self.body_links),
             self.runner,
             metrics,
             self.keys,
--- a/tests/played.py
+++ b/tests/played.py
@@ -16,6 +16,7 @@
 )
 # Fields that few messages set; they are left out at their default.
 _DEFAULTS_BY_FIELD: dict[str, Any] = {
+    'body_size': 0,
     'compresses': False,
     'failing': 0,
     'has_arrived': False,
@@ -24,6 +25,7 @@
     'retry_ms': 0,
     'slowness': 1,
     'target_latency_ms': 0,
+    'transfers_bodies': False,
 }
 
 
@@ -39,6 +41,8 @@
         self.is_connected = False
         self.is_closed = False
         self.unsent_bytes = 0
+        self.queued_bytes = 0
+        self.delivered_bytes = 0
         self._unsent: list[bytes] = []
         session.timers.after(0, self._connect)
 
--- a/tests/test_peer_calls.py
+++ b/tests/test_peer_calls.py
@@ -7,9 +7,13 @@
 
 import pytest
 
+from bluebellsill.body_transfer import BodyReceiver
+from bluebellsill.clock import ManualClock
 from bluebellsill.idempotency import Outcome
 from bluebellsill.messages import Answer, Call, Failure, Refusal, Settle
+from bluebellsill.metrics import Metrics
 from bluebellsill.peer_calls import PeerCalls
+from bluebellsill.timers import TimerService
 
 _HOLDERS = ['10.0.0.2:1', '10.0.0.3:1']
 _ANSWER = Answer(1, 200, [('x-a', 'b')], b'paid', 0, 6)
@@ -34,7 +38,8 @@
         keys: Any = SimpleNamespace(
             settle=lambda holder, settle: self.settled.append((holder, settle)),
         )
-        PeerCalls(runner, keys).serve(server)
+        bodies = BodyReceiver(TimerService(ManualClock()), Metrics())
+        PeerCalls(runner, bodies, keys).serve(server)
         holders = _HOLDERS if key else []
         call = Call(
             1, 's', 'POST', '/s', [], b'', 9, 1, False, 7, 'me', key, holders
