--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass
+from socket import SO_RCVBUF, SOL_SOCKET
 from threading import Thread
 from typing import TYPE_CHECKING, Any
 
@@ -11,6 +12,10 @@
     from collections.abc import Callable, Coroutine
 
 _CHUNK = 65536  # bytes read at a time
+_SLOW_CHUNK = 4096  # bytes read at a time at a limited rate
+# Bytes of the receive buffer at a limited rate. A larger one hides the limit
+# from the sender; one below the segment size of loopback delays each segment.
+_SLOW_BUFFER = 65536
 _TIMEOUT = 5.0  # seconds to run an action or to stop
 
 
@@ -24,12 +29,15 @@
             removed; datagrams are dropped.
         holds_from: Whether traffic from the server is held.
         resets: Whether new connections are reset.
+        bytes_per_second: The rate that all connections share in each
+            direction, 0 for no limit. Datagrams are not limited.
     """
 
     delay: float = 0
     holds_to: bool = False
     holds_from: bool = False
     resets: bool = False
+    bytes_per_second: float = 0
 
 
 _NO_FAULT = NetworkFault()
@@ -46,6 +54,8 @@
         self._writers: set[asyncio.StreamWriter] = set()
         self._silent: set[asyncio.StreamWriter] = set()
         self._datagrams: asyncio.DatagramTransport | None = None
+        # When the chunks sent so far have passed, to and from the server.
+        self._free_at = {True: 0.0, False: 0.0}
 
     async def open(self, address: str, *, udp: bool) -> None:
         """Listen at an address."""
@@ -101,14 +111,16 @@
         except OSError:
             writer.transport.abort()
             return
+        if self._fault.bytes_per_second:
+            for one in (writer, server_writer):
+                sock = one.get_extra_info('socket')
+                sock.setsockopt(SOL_SOCKET, SO_RCVBUF, _SLOW_BUFFER)
         pair = (writer, server_writer)
         self._writers.update(pair)
         try:
             await asyncio.gather(
-                self._pump(reader, server_writer, lambda: self._fault.holds_to),
-                self._pump(
-                    server_reader, writer, lambda: self._fault.holds_from
-                ),
+                self._pump(reader, server_writer, is_to_server=True),
+                self._pump(server_reader, writer, is_to_server=False),
             )
         finally:
             self._writers.difference_update(pair)
@@ -118,13 +130,15 @@
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        is_held: Callable[[], bool],
+        *,
+        is_to_server: bool,
     ) -> None:
         try:
-            while chunk := await reader.read(_CHUNK):
+            while chunk := await reader.read(self._chunk_size()):
                 if self._fault.delay:
                     await asyncio.sleep(self._fault.delay)
-                while is_held():
+                await self._pace(len(chunk), is_to_server=is_to_server)
+                while self._is_held(is_to_server=is_to_server):
                     await self._healed.wait()
                 if writer not in self._silent:
                     writer.write(chunk)
@@ -134,6 +148,22 @@
         except OSError:
             writer.transport.abort()
 
+    def _is_held(self, *, is_to_server: bool) -> bool:
+        fault = self._fault
+        return fault.holds_to if is_to_server else fault.holds_from
+
+    def _chunk_size(self) -> int:
+        return _SLOW_CHUNK if self._fault.bytes_per_second else _CHUNK
+
+    async def _pace(self, size: int, *, is_to_server: bool) -> None:
+        """Wait until a chunk has passed at the limited rate, if any."""
+        rate = self._fault.bytes_per_second
+        if rate:
+            now = asyncio.get_running_loop().time()
+            free_at = max(now, self._free_at[is_to_server]) + size / rate
+            self._free_at[is_to_server] = free_at
+            await asyncio.sleep(free_at - now)
+
 
 class _Datagrams(asyncio.DatagramProtocol):
     def __init__(self, path: ProxyPath) -> None:
