--- a/bluebellsill/body_transfer/call_links.py
+++ b/bluebellsill/body_transfer/call_links.py
@@ -203,6 +203,12 @@
             body.on_progress(message.received, message.limit)
             if body.is_received:
                 self.counts['bodies_sent'] += 1
+                self._log.info(
+                    'body sent',
+                    correlation=upload.call.correlation,
+                    node=upload.peer,
+                    size=body.size,
+                )
                 self._end_transfer(upload)
             self._send_pieces(upload.peer)
 
