Count the start of a call at a cold target when its body is there

Cause: the gate counted the start when it admitted the call. Calls whose bodies arrived together reached a cold target together, above its rate.

Change: once the body is there, the start is counted anew and waits for its turn. A call that waits for it can still be refused or cancelled.

--- a/bluebellsill/admission.py
+++ b/bluebellsill/admission.py
@@ -79,6 +79,9 @@
     def finish(self, ticket: Ticket) -> None:
         """Free the slot of a call that has ended."""
 
+    def resume(self, ticket: Ticket, now: float) -> float:
+        """Return the seconds until a call may start whose body is there."""
+
     def withdraw(self, ticket: Ticket) -> bool:
         """Remove a call from the queue; return whether it was waiting."""
 
@@ -144,6 +147,15 @@
         """Free the slot of a call that has ended."""
         self._running.discard(ticket)
 
+    def resume(self, ticket: Ticket, now: float) -> float:
+        """Start an admitted call that had to wait for its body.
+
+        Returns:
+            The seconds until it may start.
+        """
+        ticket.started_at = now
+        return 0
+
     def withdraw(self, ticket: Ticket) -> bool:
         """Remove a call from the queue.
 
--- a/bluebellsill/node.py
+++ b/bluebellsill/node.py
@@ -329,7 +329,18 @@
             'keys': len(self._keys.records),
             'gossip_bytes_sent': self._peers.gossip.bytes_sent,
             'gossip_bytes_received': self._peers.gossip.bytes_received,
-            'target': self._runner.document(),
+            'target': self._target_status(),
+        }
+
+    def _target_status(self) -> dict[str, Any]:
+        runner = self._runner
+        announcement = runner.announcement
+        return {
+            'service': announcement.service if announcement else '',
+            'is_ready': runner.watch.is_ready,
+            'in_flight': runner.gate.in_flight,
+            'waiting': runner.gate.load - runner.gate.in_flight,
+            'limit': runner.gate.limit,
         }
 
     def _on_caller_request(self, request: Request, reply: Reply) -> None:
--- a/bluebellsill/runs.py
+++ b/bluebellsill/runs.py
@@ -89,14 +89,14 @@
         self._has_slot = True
         return not self.awaits_body
 
-    def on_body(self, body: bytes) -> bool:
-        """Complete the call with its body.
+    @property
+    def has_slot(self) -> bool:
+        """Whether the call was admitted."""
+        return self._has_slot
 
-        Returns:
-            Whether the call has a slot, so that it can start now.
-        """
+    def on_body(self, body: bytes) -> None:
+        """Complete the call with its body."""
         self.call = structs.replace(self.call, body=body, body_size=0)
-        return self._has_slot
 
     def join_queue(
         self, timers: TimerService, on_due: Callable[[], None]
--- a/bluebellsill/slot_gate.py
+++ b/bluebellsill/slot_gate.py
@@ -16,11 +16,7 @@
 from bluebellsill.service_times import ServiceTimes
 from bluebellsill.slot_tracker import SlotTracker
 from bluebellsill.slowness import SlownessTracker
-from bluebellsill.start_rate import (
-    STRICT_COLD_RATE,
-    ColdRateAllowance,
-    StartRateLimiter,
-)
+from bluebellsill.start_rate import STRICT_COLD_RATE, ColdRateAllowance
 
 __all__ = ('SlotGate',)
 
@@ -68,7 +64,6 @@
         """
         super().__init__()
         self._cold_rate_allowance = cold_rate_allowance
-        self.start_limiter = StartRateLimiter()
         self._rate_limiter = RateLimiter()
         self.slowness = SlownessTracker()
         self._concurrency = ConcurrencyEstimator(1)
--- a/bluebellsill/slot_tracker.py
+++ b/bluebellsill/slot_tracker.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from bluebellsill.admission import CallTracker
+from bluebellsill.admission import CallTracker, Ticket
+from bluebellsill.start_rate import StartRateLimiter
 
 __all__ = ('SlotTracker',)
 
@@ -12,11 +13,15 @@
 
     The others are untracked: an earlier process of this node has sent them,
     and not every target stops them when their connection is closed.
+
+    Attributes:
+        start_limiter: Limits the starts while the target is cold.
     """
 
     def __init__(self) -> None:
         """Create a tracker without calls."""
         super().__init__()
+        self.start_limiter = StartRateLimiter()
         # None until the target has reported its load.
         self._untracked: int | None = None
 
@@ -30,6 +35,19 @@
         """The number of requests that the target runs, as far as is known."""
         return self.in_flight + self.untracked
 
+    def resume(self, ticket: Ticket, now: float) -> float:
+        """Start an admitted call that had to wait for its body.
+
+        Calls whose bodies arrive together would otherwise exceed the rate of
+        a cold target.
+
+        Returns:
+            The seconds until it may start.
+        """
+        wait = self.start_limiter.move_start(ticket.started_at, now)
+        ticket.started_at = now + wait
+        return wait
+
     def on_load(self, requests: int) -> bool:
         """Record how many requests the target runs and queues.
 
--- a/bluebellsill/start_rate.py
+++ b/bluebellsill/start_rate.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from bisect import insort
 from collections import deque
 from dataclasses import dataclass
 
@@ -49,9 +50,28 @@
 
     def on_start(self, now: float) -> None:
         """Count a start, also while warm: the target may turn cold next."""
-        self._starts.append(now)
+        insort(self._starts, now)
         self._drop_old_starts(now)
 
+    def move_start(self, counted_at: float, now: float) -> float:
+        """Count a start anew that did not take place when it was counted.
+
+        It is counted at once, also if it is later than now, so that no other
+        call takes its turn.
+
+        Args:
+            counted_at: When it was counted, in seconds.
+            now: The time in seconds.
+
+        Returns:
+            The seconds until it is allowed.
+        """
+        if counted_at in self._starts:
+            self._starts.remove(counted_at)
+        wait = self.wait(now)
+        self.on_start(now + wait)
+        return wait
+
     def wait(self, now: float) -> float:
         """Return the seconds until another start is allowed."""
         if not self.is_cold(now):
--- a/bluebellsill/target_runner.py
+++ b/bluebellsill/target_runner.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from msgspec import structs
 from result import Err, Result
@@ -210,16 +210,16 @@
                 self.refuse_without_body(run, kind)
 
     def on_body(self, run: Run, body: bytes) -> None:
-        """Complete a call with its body; start it if it has a slot."""
-        if not run.on_body(body):
+        """Take the body of a call; start the call if it has a slot."""
+        if not run.has_slot:
+            run.on_body(body)
             return
-        kind = _no_target_reason(run.call, self.watch) or self._owner.refusal()
-        if kind is None:
-            run.ticket.started_at = self._clock.now()
-            self._dispatch(run)
+        wait = self.gate.resume(run.ticket, self._clock.now())
+        if wait:
+            timers = self._reactor.timers
+            timers.after(wait, lambda: self._start_with_body(run, body))
         else:
-            self._respond_refused(run.ticket, kind)
-            self._release_slot(run.ticket)
+            self._start_with_body(run, body)
 
     def refuse_without_body(self, run: Run, kind: ErrorKind) -> None:
         """Refuse a call whose body has not arrived, and free its slot."""
@@ -249,17 +249,6 @@
         self._schedule_admission(now)
         self._slowness_meter.start()
 
-    def document(self) -> dict[str, Any]:
-        """Return the target's state as JSON-compatible values."""
-        announcement = self.announcement
-        return {
-            'service': announcement.service if announcement else '',
-            'is_ready': self.watch.is_ready,
-            'in_flight': self.gate.in_flight,
-            'waiting': self.gate.load - self.gate.in_flight,
-            'limit': self.gate.limit,
-        }
-
     def _refusal(self, call: Call, now: float) -> ErrorKind | None:
         if call.note is not None:
             self.directives.adopt(call.note)
@@ -281,6 +270,16 @@
             run.leave_queue()
             run.respond(self._replies.refusal(run.call, kind, ticket))
 
+    def _start_with_body(self, run: Run, body: bytes) -> None:
+        if run.ticket not in self._runs_by_ticket:
+            return
+        kind = _no_target_reason(run.call, self.watch) or self._owner.refusal()
+        if kind is not None:
+            self.refuse_without_body(run, kind)
+            return
+        run.on_body(body)
+        self._dispatch(run)
+
     def _dispatch(self, run: Run) -> None:
         run.leave_queue()
         if not run.on_admitted():
--- a/tests/test_body_transfer.py
+++ b/tests/test_body_transfer.py
@@ -12,6 +12,7 @@
 from hypothesis import strategies as st
 from msgspec import Struct, msgpack
 
+from bluebellsill.admission import Decision, Ticket
 from bluebellsill.body_transfer.outgoing import OutgoingBody, PieceQueue
 from bluebellsill.body_transfer.receiver import IncomingBody
 from bluebellsill.body_transfer.window import (
@@ -27,6 +28,7 @@
     MessageError,
     encode,
 )
+from bluebellsill.slot_gate import SlotGate
 from bluebellsill.streams import Stream
 from tests.peer_world import NODE, PeerWorld
 
@@ -131,6 +133,31 @@
     assert started_at == [world.clock.now()]
 
 
+def test_call_that_has_its_body_but_not_its_turn_can_be_refused(
+    world: PeerWorld,
+) -> None:
+    """It would start at a target that leaves, when its turn comes."""
+    _, outcomes = world.call(_BODY, holds_bodies=True)
+    world.runner.gate.resume = lambda *_: 0.5  # type: ignore[method-assign]
+    world.release_bodies()
+    assert world.target_requests() == []
+    world.runner.refuse_queue(ErrorKind.LEAVING)
+    world.advance(1)
+    assert outcomes.log == ['not run: leaving', '503 to the client']
+    assert world.target_requests() == []
+
+
+def test_call_that_has_its_body_starts_when_its_turn_comes(
+    world: PeerWorld,
+) -> None:
+    world.call(_BODY, holds_bodies=True)
+    world.runner.gate.resume = lambda *_: 0.5  # type: ignore[method-assign]
+    world.release_bodies()
+    assert world.target_requests() == []
+    world.advance(0.6)
+    assert _body_at_target(world) == _BODY
+
+
 def test_cancelled_call_frees_its_slot_while_its_body_is_on_the_way(
     world: PeerWorld,
 ) -> None:
@@ -495,6 +522,40 @@
     assert received == sizes
 
 
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 30), st.integers(0, 30)),
+        min_size=1,
+        max_size=20,
+    )
+)
+def test_bodies_that_arrive_together_do_not_exceed_the_rate_of_a_cold_target(
+    calls: list[tuple[int, int]],
+) -> None:
+    """Their calls were admitted at the rate, but start only now."""
+    gate = SlotGate()
+    gate.resize(30)
+    gate.limit_starts_until(1000, 2)
+    events: list[tuple[float, Ticket | None]] = [
+        (admitted / 10, None) for admitted, _ in calls
+    ]
+    body_delays = [delay / 10 for _, delay in calls]
+    starts: list[float] = []
+    while events:
+        events.sort(key=lambda event: event[0])
+        now, ticket = events.pop(0)
+        if ticket is not None:
+            starts.append(now + gate.resume(ticket, now))
+            continue
+        gate.on_slowness(1, now)
+        ticket = Ticket(1, now + 100)
+        if gate.offer(ticket, now)[0] is Decision.RUN:
+            events.append((now + body_delays.pop(), ticket))
+    starts.sort()
+    later = starts[2:]
+    assert all(third - first > 1 for first, third in zip(starts, later))
+
+
 def _ignore(message: Any) -> None:
     """Ignore what a receiver sends."""
 
