--- a/bluebellsill/node.py
+++ b/bluebellsill/node.py
@@ -14,6 +14,7 @@
 from bluebellsill._signals import handle_signals
 from bluebellsill.acceptance import Acceptance
 from bluebellsill.balancing_policy import make_balancing_policy
+from bluebellsill.body_transfer import BodyReceiver
 from bluebellsill.caller_interface import NativeInterface
 from bluebellsill.clock import SystemClock
 from bluebellsill.configuration import Configuration
@@ -241,7 +242,7 @@
                 ),
                 RetryBudget,
             ),
-            self._links,
+            self._peers.call_links,
             self._runner,
             self._metrics,
             self._keys,
@@ -262,7 +263,8 @@
             self._on_caller_request,
         )
         server = self._peers.server
-        PeerCalls(self._runner, self._keys).serve(server)
+        bodies = BodyReceiver(self._timers, self._metrics)
+        PeerCalls(self._runner, bodies, self._keys).serve(server)
         server.on(CrashReport, self._crashes.on_report)
         server.on(ZoneReportRequest, self._rollouts.on_request)
         self._timers.every(_OBSERVE_PERIOD, self._keys.observe)
@@ -327,7 +329,18 @@
             'keys': len(self._keys.records),
             'gossip_bytes_sent': self._peers.gossip.bytes_sent,
             'gossip_bytes_received': self._peers.gossip.bytes_received,
-            'target': self._runner.document(),
+            'target': self._target_status(),
+        }
+
+    def _target_status(self) -> dict[str, Any]:
+        runner = self._runner
+        announcement = runner.announcement
+        return {
+            'service': announcement.service if announcement else '',
+            'is_ready': runner.watch.is_ready,
+            'in_flight': runner.gate.in_flight,
+            'waiting': runner.gate.load - runner.gate.in_flight,
+            'limit': runner.gate.limit,
         }
 
     def _on_caller_request(self, request: Request, reply: Reply) -> None:
