--- a/bluebellsill/concurrency.py
+++ b/bluebellsill/concurrency.py
@@ -26,23 +26,14 @@
         # slots.
         self._ratios: dict[int, float] = {}
         self._answers: dict[int, int] = {}
+        self._best: int | None = None  # None if it has to be found again
 
     @property
     def best_concurrency(self) -> int:
         """The number of concurrent requests with the most answers a second."""
-        # Without enough answers the ratio is assumed to be 1, so of all such
-        # concurrencies the highest one is the best.
-        highest = self.slots
-        while highest > 1 and self._is_known(highest):
-            highest -= 1
-        known = [one for one in self._ratios if self._is_known(one)]
-        return max(
-            (highest, *known),
-            key=lambda concurrency: (
-                concurrency / self._ratio(concurrency),
-                concurrency,
-            ),
-        )
+        if self._best is None:
+            self._best = self._find_best()
+        return self._best
 
     def is_reference(self, concurrency: int) -> bool:
         """Return whether a concurrency is low enough to compare others with."""
@@ -62,6 +53,22 @@
         weight = max(_MIN_WEIGHT, 1 / answers)
         known = self._ratios.get(concurrency, 1)
         self._ratios[concurrency] = known + weight * (ratio - known)
+        self._best = None
+
+    def _find_best(self) -> int:
+        # Without enough answers the ratio is assumed to be 1, so of all such
+        # concurrencies the highest one is the best.
+        highest = self.slots
+        while highest > 1 and self._is_known(highest):
+            highest -= 1
+        known = [one for one in self._ratios if self._is_known(one)]
+        return max(
+            (highest, *known),
+            key=lambda concurrency: (
+                concurrency / self._ratio(concurrency),
+                concurrency,
+            ),
+        )
 
     def _is_known(self, concurrency: int) -> bool:
         return self._answers.get(concurrency, 0) >= _MIN_ANSWERS
--- a/bluebellsill/overload/cost_order.py
+++ b/bluebellsill/overload/cost_order.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from math import exp
+from math import log
 from typing import TYPE_CHECKING
 
 from bluebellsill.overload.team_shares import TeamShares
@@ -13,13 +13,16 @@
 
 __all__ = ('CostOrder',)
 
-_LATE_VALUE = 0.1  # of an answer after the target latency, relative to in time
-# A client that was refused before is unlikely to try a third time, so its
-# request is lost for good.
+# Factors by which a call is worth more: for each level of its team, for each
+# level of its route, and for a client that was refused before, which is
+# unlikely to try a third time.
+_TEAM_FACTOR = 16.0
+_ROUTE_FACTOR = 8.0
 _REPEAT_FACTOR = 1.5
 # Seconds of slack in which the loss by waiting falls to 1/e: about the time
 # in which a full queue is served.
 _SLACK_SCALE = 0.3
+_MIN_SUCCESS = 0.1  # share; routes that fail more often are refused anyway
 _MIN_WORK = 0.001  # seconds
 
 
@@ -52,17 +55,16 @@
         ends_by = ticket.expires_at if is_late else soft_deadline
         return (
             not ticket.is_inner,
-            not self.shares.is_starved(ticket.team, now),
+            not self.shares.is_starved(ticket.team),
             is_late,
-            (-ticket.team_importance, -ticket.priority),
-            -_loss(ticket, service_time, ends_by - now, is_late=is_late),
+            -_loss(ticket, service_time, ends_by - now),
         )
 
     def class_rank(self, ticket: Ticket, now: float) -> Rank:
         """Return the sort key of a call's class; higher ones displace lower."""
         return (
             ticket.is_inner,
-            self.shares.is_starved(ticket.team, now),
+            self.shares.is_starved(ticket.team),
             ticket.team_importance,
             ticket.priority,
         )
@@ -76,15 +78,15 @@
         self.shares.observe(ticket.team, is_served=False, now=now)
 
 
-def _loss(
-    ticket: Ticket, service_time: float, time_left: float, *, is_late: bool
-) -> float:
-    """Return the value that a call loses per second of work by waiting."""
-    worth = ticket.success_share
-    if is_late:
-        worth *= _LATE_VALUE
+def _loss(ticket: Ticket, service_time: float, time_left: float) -> float:
+    """Return the logarithm of the loss per second of work by waiting.
+
+    Importances may be any numbers, so the factors are added as logarithms.
+    """
+    worth = log(_TEAM_FACTOR) * ticket.team_importance
+    worth += log(_ROUTE_FACTOR) * ticket.priority
     if ticket.is_repeat:
-        worth *= _REPEAT_FACTOR
+        worth += log(_REPEAT_FACTOR)
+    worth += log(max(_MIN_SUCCESS, ticket.success_share))
     slack = max(0, time_left - service_time)
-    work = max(_MIN_WORK, service_time)
-    return worth / work * exp(-slack / _SLACK_SCALE)
+    return worth - log(max(_MIN_WORK, service_time)) - slack / _SLACK_SCALE
--- a/bluebellsill/overload/load_shedding.py
+++ b/bluebellsill/overload/load_shedding.py
@@ -55,16 +55,13 @@
         """Return the slots that calls that are not nested leave free."""
         return self._reserve.slots(limit, now) if self.is_on else 0
 
-    def on_offered(
+    def on_served(
         self, ticket: Ticket, service_time: float, now: float
     ) -> None:
-        """Count a call that arrives at the gate."""
-        if ticket.is_inner:
-            self._reserve.on_offered(service_time, now)
-
-    def on_served(self, ticket: Ticket, now: float) -> None:
-        """Count a call that has started."""
+        """Count a call that has started and the seconds that it needs."""
         self.order.on_served(ticket, now)
+        if ticket.is_inner:
+            self._reserve.on_served(service_time, now)
 
     def on_refused(
         self,
@@ -95,10 +92,10 @@
             now,
             is_probe=not ticket.may_wait,
         )
-        if ticket.may_wait:
-            self.order.on_refused(ticket, now)
         if ticket.is_inner:
             self._reserve.on_refused(now)
+        if ticket.may_wait:
+            self.order.on_refused(ticket, now)
 
     def on_answer(
         self, ticket: Ticket, now: float, *, has_failed_below: bool
--- a/bluebellsill/overload/nested_reserve.py
+++ b/bluebellsill/overload/nested_reserve.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from math import ceil, exp
+from math import exp
 
 __all__ = ('NestedReserve',)
 
@@ -19,25 +19,27 @@
     """Tells how many slots calls that are not nested leave free.
 
     A nested call waits behind running calls of other routes, which may be
-    longer than it can wait. The reserve is as large as the nested calls need
-    on average, and ends when none of them is refused any more.
+    longer than it can wait; meanwhile, its parent holds a slot for nothing. So
+    the reserve is as large as the load of nested calls, and ends when none of
+    them is refused any more. It also counts refusals of nested calls that are
+    tried at other nodes: they find no free slot, and will wait somewhere.
     """
 
     def __init__(self) -> None:
         """Create the reserve of a target without nested calls."""
-        self._calls: float = 0
+        self._served: float = 0
         self._refused: float = 0
         self._work: float = 0
         self._updated_at: float = 0
 
-    def on_offered(self, service_time: float, now: float) -> None:
-        """Count a nested call and the seconds of work that it needs."""
+    def on_served(self, service_time: float, now: float) -> None:
+        """Count a nested call that starts and the seconds that it needs."""
         self._decay(now)
-        self._calls += 1
+        self._served += 1
         self._work += service_time
 
     def on_refused(self, now: float) -> None:
-        """Count the refusal of a nested call."""
+        """Count a nested call that finds no slot."""
         self._decay(now)
         self._refused += 1
 
@@ -48,16 +50,17 @@
             limit: The calls that may run at the target at a time.
             now: The time in seconds.
         """
+        if self._refused < _MIN_REFUSED:
+            return 0
         self._decay(now)
-        share = self._refused / self._calls if self._calls else 0
-        if self._refused < _MIN_REFUSED or share < _REFUSED_SHARE:
+        if self._refused < _REFUSED_SHARE * (self._served + self._refused):
             return 0
-        needed = ceil(self._work / _LIFETIME)
+        needed = max(1, round(self._work / _LIFETIME))
         return min(needed, limit // _MAX_SHARE_OF_SLOTS)
 
     def _decay(self, now: float) -> None:
         kept = exp(-max(0, now - self._updated_at) / _LIFETIME)
         self._updated_at = now
-        self._calls *= kept
+        self._served *= kept
         self._refused *= kept
         self._work *= kept
--- a/bluebellsill/overload/team_shares.py
+++ b/bluebellsill/overload/team_shares.py
@@ -68,14 +68,15 @@
         count.add(is_served=is_served, now=now)
         self._all.add(is_served=is_served, now=now)
 
-    def is_starved(self, team: str, now: float) -> bool:
+    def is_starved(self, team: str) -> bool:
         """Return whether a team gets less than half of the usual share."""
         count = self._by_team.get(team)
         if count is None:
             return False
-        if count.calls_at(now) < _MIN_CALLS:
-            return False
-        return count.share < _STARVED_BELOW * self._all.share
+        # Decay changes no shares, so the latest counts are precise enough.
+        return count.calls >= _MIN_CALLS and (
+            count.share < _STARVED_BELOW * self._all.share
+        )
 
     def lowest(self, most: int, now: float) -> dict[str, float]:
         """Return the shares of the teams that are served least."""
--- a/bluebellsill/slot_gate.py
+++ b/bluebellsill/slot_gate.py
@@ -74,6 +74,7 @@
         self._cold_rate_allowance = cold_rate_allowance
         self.start_limiter = StartRateLimiter()
         self._rate_limiter = RateLimiter()
+        self._has_new_call = False  # since the queue was last expired
 
     def offer(
         self, ticket: Ticket, now: float
@@ -89,7 +90,6 @@
         """
         if now >= ticket.expires_at:
             return self._refuse(ticket, RefusalReason.EXPIRED, now, wait=0)
-        self.shedding.on_offered(ticket, self._service_time(ticket), now)
         if self.shedding.refuses_route(ticket, now):
             return self._refuse(ticket, RefusalReason.FAILS_BELOW, now)
         is_free = self._free_slots(ticket, now) > len(self._queue)
@@ -103,6 +103,7 @@
         )
         if not awaits_report and not may_wait:
             return self._refuse(ticket, RefusalReason.NOT_IN_TIME, now)
+        self._has_new_call = True
         ticket.leaves_queue_at = self._latest_start(ticket)
         ticket.must_start_by = (
             ticket.expires_at - self._service_time(ticket) + _TIMER_MARGIN
@@ -121,7 +122,7 @@
     def admit(self, now: float) -> list[Ticket]:
         """Start the waiting calls that have a slot and should start now."""
         admitted: list[Ticket] = []
-        if not self.slowness.is_fresh(now):
+        if not self.slowness.is_fresh(now) or not self._has_capacity(now):
             return admitted
         self._sort_queue(now)
         for ticket in tuple(self._queue):
@@ -155,8 +156,9 @@
             or (is_decided and not ticket.may_wait)
         ]
         late = self._beyond_rate(now)
-        if self.shedding.is_on:
+        if self._has_new_call and self.shedding.is_on:
             late += self._displaced(now)
+        self._has_new_call = False
         for ticket in expired:
             self._queue.remove(ticket)
             self._refuse(ticket, RefusalReason.NOT_IN_TIME, now)
@@ -264,7 +266,9 @@
             service_time = self._service_time(ticket)
             starts_at = now + free_in[0]
             tolerance = _DISPLACED_AFTER * service_time
-            if free_in[0] and starts_at > ticket.leaves_queue_at + tolerance:
+            # The reserve keeps slots for nested calls that are not listed here.
+            is_late = starts_at > ticket.leaves_queue_at + tolerance
+            if is_late and free_in[0] and not ticket.is_inner:
                 displaced.append(ticket)
             else:
                 heapreplace(free_in, free_in[0] + service_time)
@@ -342,7 +346,7 @@
         self._rate_limiter.on_start(now)
         self._running.add(ticket)
         ticket.concurrency = len(self._running)
-        self.shedding.on_served(ticket, now)
+        self.shedding.on_served(ticket, self._service_time(ticket), now)
 
     def _refuse(
         self,
--- a/bluebellsill/slowness.py
+++ b/bluebellsill/slowness.py
@@ -51,10 +51,10 @@
     @property
     def baseline_factor(self) -> float:
         """The lowest recent factor, that of times without a slowdown."""
-        return min(
-            (factor for _, factor in self._recent_minima),
-            default=USUAL_SLOWNESS,
-        )
+        # Each factor is lower than all that follow.
+        if not self._recent_minima:
+            return USUAL_SLOWNESS
+        return self._recent_minima[0][1]
 
     @property
     def relative_factor(self) -> float:
