Describe load shedding, and show operators why calls are refused

Refused calls that the order cannot change (expired, failing below) do not count for a team's share.

--- a/bluebellsill/overload/cost_order.py
+++ b/bluebellsill/overload/cost_order.py
@@ -31,10 +31,11 @@
 
     Nested calls are first: the work already done for the requests that wait
     for them is lost with them. Then come teams that get less than half of the
-    usual share, then calls in time, then the priority of the team and of the
-    route. Within one priority the calls are ranked as by the apparent
-    tardiness cost rule: by value per second of work, which decays with the
-    time that the call can still wait without loss.
+    usual share, then calls that are still in time. Among these the apparent
+    tardiness cost rule decides: the value per second of work, which decays
+    with the time that the call can still wait without loss. The importance of
+    team and route outweighs differences of work. A call of higher importance
+    waits for a lower one only if it can wait much longer.
 
     Attributes:
         shares: Tells which teams are served too rarely.
--- a/bluebellsill/overload/load_shedding.py
+++ b/bluebellsill/overload/load_shedding.py
@@ -16,6 +16,15 @@
 
 __all__ = ('LoadShedding',)
 
+# Reasons that the order of the queue can change.
+_SHED = frozenset(
+    (
+        RefusalReason.NOT_IN_TIME,
+        RefusalReason.DISPLACED,
+        RefusalReason.BEYOND_RATE,
+    )
+)
+
 
 class LoadShedding:
     """What a gate asks and tells about the load of its target.
@@ -94,7 +103,7 @@
         )
         if ticket.is_inner:
             self._reserve.on_refused(now)
-        if ticket.may_wait:
+        if ticket.may_wait and reason in _SHED:
             self.order.on_refused(ticket, now)
 
     def on_answer(
--- a/bluebellsill/overload/queue_order.py
+++ b/bluebellsill/overload/queue_order.py
@@ -18,10 +18,8 @@
 class RefusalReason(str, Enum):
     """Why a gate refuses a call, for logs and counters."""
 
-    NONE = ''
     EXPIRED = 'expired'
     NOT_IN_TIME = 'not_in_time'
-    NO_SLOT = 'no_slot'
     DISPLACED = 'displaced'
     BEYOND_RATE = 'beyond_rate'
     FAILS_BELOW = 'fails_below'
--- a/tests/test_mesh_settings.py
+++ b/tests/test_mesh_settings.py
@@ -28,6 +28,8 @@
 [bounds]
 grace_s = 6
 a_future_bound = true
+[overload]
+order = "cost"
 """
 
 
@@ -36,6 +38,7 @@
     path.write_text(_VALID)
     settings = load(path).unwrap()
     assert settings.enforced_bounds().grace_s == 6
+    assert settings.overload.order == 'cost'
     assert run([str(path), '--check']) == 0
 
 
@@ -47,6 +50,7 @@
         ('[store]', '[shop]', 'store = nothing: is required'),
         ('grace_s = 6', 'grace_s = -1', "bounds = {'grace_s': -1"),
         ('grace_s = 6', 'grace_s = ', 'file ='),
+        ('order = "cost"', 'order = "cheap"', "overload.order = 'cheap'"),
         ('is_first_start = true', 'is_first_start = 3', 'is_first_start = 3'),
     ],
 )
@@ -61,3 +65,11 @@
     path.write_text(_VALID.replace(old, new))
     assert run([str(path)]) == 2
     assert message in capsys.readouterr().err
+
+
+def test_overload_is_handled_by_priority_unless_settings_say_otherwise(
+    tmp_path: Path,
+) -> None:
+    path = tmp_path / 'node.toml'
+    path.write_text(_VALID.partition('[overload]')[0])
+    assert load(path).unwrap().overload.order == 'priority'
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -13,7 +13,7 @@
 
 from bluebellsill.admission import Decision, Ticket
 from bluebellsill.clock import ManualClock
-from bluebellsill.messages import Call, decode, encode
+from bluebellsill.messages import Call, Refusal, decode, encode
 from bluebellsill.metrics import Metrics
 from bluebellsill.overload import (
     CostOrder,
@@ -24,8 +24,10 @@
     PriorityOrder,
     TeamShares,
 )
+from bluebellsill.resources import Kind
 from bluebellsill.retry_advice import MAX_SHARE_OF_TIME_LEFT
 from bluebellsill.slot_gate import SlotGate
+from tests.node_session import NodeSession
 from tests.overload_load import CLASSES, TEAMS, Result, play
 
 _SEED = 1
@@ -272,6 +274,47 @@
     assert older == call
 
 
+def test_call_says_whether_its_client_was_refused_before(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    session = NodeSession(monkeypatch)
+    session.declare(Kind.SERVICE, 'shop')
+    session.add_target_node('10.0.0.2:1', 'shop')
+    for is_repeat in (False, True):
+        session.call('client', 'POST', '/shop/x')
+        call = session.sent_messages[-1]
+        assert isinstance(call, Call)
+        assert call.is_repeat is is_repeat
+        session.reply(lambda call_id: Refusal(call_id, 'overloaded', 6, 6))
+        session.advance(0.01)
+
+
+@pytest.mark.parametrize(
+    ('status', 'is_refused', 'learns'),
+    [(500, True, True), (200, True, False), (500, False, False)],
+)
+def test_target_learns_from_failures_after_refused_nested_calls_only(
+    monkeypatch: pytest.MonkeyPatch,
+    status: int,
+    is_refused: bool,
+    learns: bool,
+) -> None:
+    """A target that fails by itself is the breaker's concern."""
+    session = NodeSession(monkeypatch, service='shop')
+    session.declare(Kind.SERVICE, 'shop', slots=6)
+    session.announce('one')
+    outcomes: list[bool] = []
+    monkeypatch.setattr(
+        NestedFailures,
+        'observe',
+        lambda _, route, *, has_failed, now: outcomes.append(has_failed),
+    )
+    session.call_from_peer('parent', '/shop/x')
+    session.runner.on_downstream_failure('parent', is_refused=is_refused)
+    session.target_responds(status)
+    assert outcomes == [learns]
+
+
 def test_operator_sees_the_teams_that_are_served_least() -> None:
     switch = OrderSwitch('cost')
     metrics = Metrics()
