Refuse parents that would fail mostly where another request needs the slot

A refusal takes one of the two attempts of a client. With free slots a route is now refused from 0.85 on, and its clients are told to come back when the trials can have shown a recovery.

--- a/bluebellsill/overload/load_shedding.py
+++ b/bluebellsill/overload/load_shedding.py
@@ -16,6 +16,8 @@
 
 __all__ = ('LoadShedding',)
 
+# Seconds in which the trials of a route replace half of its outcomes.
+_RECOVERY_SECONDS = 1.0
 # Reasons that the order of the queue can change.
 _SHED = frozenset(
     (
@@ -48,17 +50,24 @@
         """Whether the order in force sheds load."""
         return self.order.sheds_load
 
-    def refuses_route(self, ticket: Ticket, now: float) -> bool:
+    def refuses_route(
+        self, ticket: Ticket, now: float, *, is_busy: bool
+    ) -> bool:
         """Return whether a call would fail as its nested calls are refused.
 
         Nested calls are not refused for this: the requests that wait for them
         would fail at once.
+
+        Args:
+            ticket: The call.
+            now: The time in seconds.
+            is_busy: Whether the target has no free slot for it.
         """
         if not self.is_on or ticket.is_inner:
             return False
         failures = self._nested_failures
         ticket.success_share = failures.success_share(ticket.route, now)
-        return failures.refuses(ticket.route, now)
+        return failures.refuses(ticket.route, now, is_busy=is_busy)
 
     def reserved_slots(self, limit: int, now: float) -> int:
         """Return the slots that calls that are not nested leave free."""
@@ -89,6 +98,8 @@
             turn: The seconds in which the target frees one slot on average.
             now: The time in seconds.
         """
+        if reason is RefusalReason.FAILS_BELOW:
+            wait = max(wait, _RECOVERY_SECONDS)
         ticket.refusal_reason = reason.value
         ticket.queue_seconds = wait
         ticket.retry_after = wait
--- a/bluebellsill/overload/nested_failures.py
+++ b/bluebellsill/overload/nested_failures.py
@@ -9,9 +9,12 @@
 _MAX_OUTCOMES = 8  # remembered for each route
 _MIN_OUTCOMES = 4  # from which on a route is judged
 _OUTCOME_LIFETIME = 3.0  # seconds
-# Share of failures from which on a refusal is better than the attempt: a
-# refused client may try again, one whose request has run often may not.
-_REFUSED_FROM = 0.5
+# Share of failures from which on a refusal is better than the attempt. At a busy
+# target, another request can use the slot; at one with free slots, an attempt
+# costs nothing but the second attempt that a refused client could make. With
+# 0.5 for both, clients got up to 7 in 100 less than without any refusal.
+_REFUSED_FROM_BUSY = 0.5
+_REFUSED_FROM_FREE = 0.85
 # Seconds between two requests that run although they would be refused, so
 # that eight outcomes, a new estimate, take two seconds.
 _TRIAL_PERIOD = 0.25
@@ -71,14 +74,20 @@
         known = self._by_route.get(route)
         return 1 - known.failing(now) if known else 1
 
-    def refuses(self, route: str, now: float) -> bool:
+    def refuses(self, route: str, now: float, *, is_busy: bool) -> bool:
         """Return whether a new request would probably fail.
 
         It returns False for one request in each trial period, whose outcome
         shows whether the called service has recovered.
+
+        Args:
+            route: The route of the request.
+            now: The time in seconds.
+            is_busy: Whether the target has no free slot for the request.
         """
         known = self._by_route.get(route)
-        if known is None or known.failing(now) < _REFUSED_FROM:
+        refused_from = _REFUSED_FROM_BUSY if is_busy else _REFUSED_FROM_FREE
+        if known is None or known.failing(now) < refused_from:
             return False
         if now >= known.trial_at:
             known.trial_at = now + _TRIAL_PERIOD
--- a/bluebellsill/overload/order_monitor.py
+++ b/bluebellsill/overload/order_monitor.py
@@ -28,7 +28,7 @@
         self._order = order
         self._clock = clock
         self._log = get_logger('overload')
-        metrics.gauges['sheds_load'] = lambda: order.sheds_load
+        metrics.gauges['sheds_load'] = lambda: int(order.sheds_load)
         metrics.gauges['lowest_team_share'] = lambda: round(
             _PERCENT * min(self._shares(1).values(), default=1)
         )
--- a/bluebellsill/slot_gate.py
+++ b/bluebellsill/slot_gate.py
@@ -90,9 +90,9 @@
         """
         if now >= ticket.expires_at:
             return self._refuse(ticket, RefusalReason.EXPIRED, now, wait=0)
-        if self.shedding.refuses_route(ticket, now):
-            return self._refuse(ticket, RefusalReason.FAILS_BELOW, now)
         is_free = self._free_slots(ticket, now) > len(self._queue)
+        if self.shedding.refuses_route(ticket, now, is_busy=not is_free):
+            return self._refuse(ticket, RefusalReason.FAILS_BELOW, now)
         has_room = is_free and not self._start_delay(now)
         if has_room and not self._queue and self._should_start_now(ticket, now):
             self._start(ticket, now)
--- a/tests/test_not_run.py
+++ b/tests/test_not_run.py
@@ -37,16 +37,13 @@
     return session
 
 
-def _serving(session: NodeSession) -> NodeSession:
+def _target_node(monkeypatch: pytest.MonkeyPatch) -> NodeSession:
+    session = NodeSession(monkeypatch, service=_SERVICE)
     session.declare(Kind.SERVICE, _SERVICE, slots=1)
     session.announce('one')
     return session
 
 
-def _target_node(monkeypatch: pytest.MonkeyPatch) -> NodeSession:
-    return _serving(NodeSession(monkeypatch, service=_SERVICE))
-
-
 def test_every_kind_that_is_not_run_has_a_status_that_says_so() -> None:
     """``expired`` was 504 although the request has not run."""
     promising_nothing = {502, 504}
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -219,24 +219,35 @@
 def test_route_that_fails_below_is_refused_until_trials_succeed() -> None:
     failures = NestedFailures()
     for _ in range(4):
-        assert not failures.refuses('search', 0)
+        assert not failures.refuses('search', 0, is_busy=False)
         failures.observe('search', has_failed=True, now=0)
-    assert not failures.refuses('search', 0), 'the first one is a trial'
-    assert failures.refuses('search', 0.1)
-    assert not failures.refuses('purchase', 0.1)
-    now = 0.25
-    while failures.refuses('search', now) or now < 0.5:
-        now += 0.05
-        if not failures.refuses('search', now):
+    assert not failures.refuses('search', 0, is_busy=False), 'the first trial'
+    assert failures.refuses('search', 0.1, is_busy=False)
+    assert not failures.refuses('purchase', 0.1, is_busy=False)
+    refused_until = 0.0
+    for step in range(1, 50):
+        now = step * 0.05
+        if failures.refuses('search', now, is_busy=True):
+            refused_until = now
+        else:
             failures.observe('search', has_failed=False, now=now)
-        assert now < 2.5, 'the estimate does not recover'
+    assert 0.5 < refused_until < 1.5
+
+
+def test_request_that_may_succeed_runs_if_a_slot_is_free() -> None:
+    failures = NestedFailures()
+    for number in range(8):
+        failures.observe('search', has_failed=number < 6, now=0)
+    assert not failures.refuses('search', 0, is_busy=True), 'the first trial'
+    assert failures.refuses('search', 0.1, is_busy=True)
+    assert not failures.refuses('search', 0.1, is_busy=False)
 
 
 def test_failures_below_are_forgotten_without_trials() -> None:
     failures = NestedFailures()
     for _ in range(8):
         failures.observe('search', has_failed=True, now=0)
-    assert not failures.refuses('search', 3.5)
+    assert not failures.refuses('search', 3.5, is_busy=True)
 
 
 def test_gate_refuses_parents_that_would_fail_but_not_nested_calls() -> None:
@@ -248,6 +259,8 @@
     refused = Ticket(1, 9, route='search')
     assert gate.offer(refused, 0)[0] is Decision.REFUSE
     assert refused.refusal_reason == 'fails_below'
+    # The slots are free, but the called service is not.
+    assert refused.retry_after >= 1
     nested = Ticket(1, 9, route='search', is_inner=True)
     assert gate.offer(nested, 0)[0] is Decision.RUN
 
@@ -315,6 +328,24 @@
     assert outcomes == [learns]
 
 
+@pytest.mark.parametrize(
+    ('service', 'is_refused'), [('stock', True), ('nowhere', None)]
+)
+def test_entry_node_tells_that_a_nested_call_was_refused(
+    monkeypatch: pytest.MonkeyPatch, service: str, is_refused: bool | None
+) -> None:
+    session = NodeSession(monkeypatch, service='shop')
+    session.declare(Kind.SERVICE, 'stock', callers=['shop'])
+    told: list[bool] = []
+    monkeypatch.setattr(
+        session.runner,
+        'on_downstream_failure',
+        lambda correlation, *, is_refused: told.append(is_refused),
+    )
+    session.call('target', 'GET', f'/{service}/x', caller='shop')
+    assert told == ([] if is_refused is None else [is_refused])
+
+
 def test_operator_sees_the_teams_that_are_served_least() -> None:
     switch = OrderSwitch('cost')
     metrics = Metrics()
