--- a/bluebellsill/body_transfer/call_links.py
+++ b/bluebellsill/body_transfer/call_links.py
@@ -141,6 +141,14 @@
         self._links.forget(peer, call_id)
         self._links.send(peer, Cancel(call_id))
 
+    def cancel_waiting(self, peer: str, call_id: int) -> None:
+        """Ask the peer to refuse a call unless its target has started it."""
+        self._links.send(peer, Cancel(call_id, waiting_only=True))
+
+    def abort_connecting(self, peer: str) -> None:
+        """Give up a link that is not established; see ``PeerLinks``."""
+        self._links.abort_connecting(peer)
+
     def _on_support(self, upload: _Upload, support: bool | LinkLost) -> None:
         call = upload.call
         if self._uploads_by_id.get(call.id) is not upload:
--- a/bluebellsill/body_transfer/receiver.py
+++ b/bluebellsill/body_transfer/receiver.py
@@ -182,7 +182,7 @@
             return
         if transfer.connection is None:
             transfer.connection = connection
-            connection.on_cancel_by_id[piece.id] = lambda: self._give_up(
+            connection.on_cancel_by_id[piece.id] = lambda _: self._give_up(
                 transfer, 'connection ended'
             )
         if transfer.connection is not connection:
--- a/bluebellsill/caller_side.py
+++ b/bluebellsill/caller_side.py
@@ -116,7 +116,7 @@
         # Callers and the local target connect to the same address. Only the
         # target makes calls for a request that it is running.
         is_target = self._interface.is_nested(
-            request, self._runner.running_ids()
+            request, self._runner.runs.running_ids()
         )
         if self.is_draining and not is_target:
             # Callers send requests on open connections until the process
--- a/bluebellsill/outcome_recorder.py
+++ b/bluebellsill/outcome_recorder.py
@@ -1,4 +1,4 @@
-"""Updates the state kept about a target from its responses."""
+"""Updates what a node knows about its target from the target's responses."""
 
 from __future__ import annotations
 
@@ -6,12 +6,14 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from bluebellsill.admission import Admission, Ticket
+    from bluebellsill.admission import Admission
     from bluebellsill.breaker import Breaker
     from bluebellsill.clock import Clock
     from bluebellsill.http import Response
+    from bluebellsill.overload import LoadShedding
+    from bluebellsill.runs import Run
 
-__all__ = ('OutcomeRecorder', 'is_error')
+__all__ = ('OutcomeRecorder',)
 
 # Statuses that do not count as target failures: the deadline was too short,
 # or the target was overloaded.
@@ -21,37 +23,47 @@
 
 
 class OutcomeRecorder:
-    """Updates the breaker and admission control of a target."""
+    """Tells admission control and the breaker how calls have ended."""
 
-    def __init__(self, breaker: Breaker, gate: Admission, clock: Clock) -> None:
+    def __init__(
+        self,
+        gate: Admission,
+        breaker: Breaker,
+        shedding: LoadShedding,
+        clock: Clock,
+    ) -> None:
         """Create a recorder.
 
         Args:
-            breaker: Counts the failures of the target.
-            gate: Admission control of the target.
-            clock: Tells when a response is read.
+            gate: Learns service times and overloads.
+            breaker: Counts failures of the target.
+            shedding: Learns which routes fail because of nested calls.
+            clock: Tells the time.
         """
-        self._breaker = breaker
         self._gate = gate
+        self._breaker = breaker
+        self._shedding = shedding
         self._clock = clock
 
-    def record(self, ticket: Ticket, response: Response) -> None:
-        """Record a complete response to a call.
+    def on_answered(self, run: Run, response: Response) -> bool:
+        """Record a complete response.
 
-        Args:
-            ticket: The admission ticket of the call.
-            response: The response.
+        Returns:
+            Whether the call has failed because a nested call has.
         """
         now = self._clock.now()
-        if not is_error(response):
+        is_error = response.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        self._shedding.on_answer(
+            run.ticket, now, has_failed_below=run.is_refused_below and is_error
+        )
+        if not is_error:
             self._breaker.on_success(now)
-            self._gate.on_answer(ticket, now)
+            self._gate.on_answer(run.ticket, now)
+        elif run.has_failed_below:
+            # A failure of a downstream service says nothing about this target.
+            return True
         elif response.status not in _NON_FAILURE_STATUSES:
             self._breaker.on_failure(now)
         if response.status == HTTPStatus.SERVICE_UNAVAILABLE:
             self._gate.on_overload()
-
-
-def is_error(response: Response) -> bool:
-    """Return whether a response reports an error of the target."""
-    return response.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        return False
--- a/bluebellsill/peer_calls.py
+++ b/bluebellsill/peer_calls.py
@@ -78,9 +78,12 @@
         if run.awaits_body:
             transfer = self._request_body(connection, run)
 
-        def cancel() -> None:
+        def cancel(waiting_only: bool) -> None:
             self._bodies.drop(transfer)
-            self._runner.cancel(run)
+            if waiting_only:
+                self._runner.refuse_waiting(run)
+            else:
+                self._runner.cancel(run)
 
         on_cancel_by_id[call.id] = cancel
 
@@ -119,9 +122,12 @@
             self._keys.settle(holder, settle)
 
     def _on_cancel(self, connection: PeerConnection, cancel: Cancel) -> None:
-        on_cancel = connection.on_cancel_by_id.pop(cancel.id, None)
-        if on_cancel is not None:
-            on_cancel()
+        on_cancel = connection.on_cancel_by_id.get(cancel.id)
+        if on_cancel is None:
+            return
+        if not cancel.waiting_only:
+            del connection.on_cancel_by_id[cancel.id]
+        on_cancel(cancel.waiting_only)
 
     def _on_claim(
         self,
--- a/bluebellsill/runs.py
+++ b/bluebellsill/runs.py
@@ -9,15 +9,15 @@
 from bluebellsill.admission import Ticket
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Iterator
+    from collections.abc import Callable
 
     from bluebellsill.errors import ErrorKind
     from bluebellsill.http_exchange import Exchange
     from bluebellsill.messages import Answer, Call, Failure, Refusal
     from bluebellsill.resources import Service
-    from bluebellsill.timers import Timer, TimerService
+    from bluebellsill.timers import Timer
 
-__all__ = ('Run', 'TargetOwner', 'make_ticket', 'runs_of')
+__all__ = ('Run', 'TargetOwner', 'make_ticket')
 
 _MS_PER_SECOND = 1000
 
@@ -49,7 +49,8 @@
         'call',
         'exchange',
         'has_failed_below',
-        'queue_timers',
+        'is_refused_below',
+        '_queue_timers',
         'respond',
         'ticket',
     )
@@ -66,8 +67,9 @@
         self.respond = respond
         self.exchange: Exchange | None = None
         # Due when the call may have waited too long.
-        self.queue_timers: list[Timer] = []
+        self._queue_timers: list[Timer] = []
         self.has_failed_below = False
+        self.is_refused_below = False
         self._has_slot = False
 
     @property
@@ -98,20 +100,33 @@
         """Complete the call with its body."""
         self.call = structs.replace(self.call, body=body, body_size=0)
 
-    def join_queue(
-        self, timers: TimerService, on_due: Callable[[], None]
+    def expire_with(
+        self,
+        after: Callable[[float, Callable[[], None]], Timer],
+        expire: Callable[[], None],
+        now: float,
     ) -> None:
-        """Call ``on_due`` when the call may have waited too long."""
-        now = timers.clock.now()
-        for due_at in (self.ticket.leaves_queue_at, self.ticket.expires_at):
-            timer = timers.after(max(0, due_at - now), on_due)
-            self.queue_timers.append(timer)
+        """Schedule the checks whether the call has waited too long.
+
+        Args:
+            after: Schedules a function after some seconds.
+            expire: Removes the calls that have waited too long.
+            now: The time in seconds.
+        """
+        ticket = self.ticket
+        for due_at in (
+            ticket.leaves_queue_at,
+            ticket.must_start_by,
+            ticket.expires_at,
+        ):
+            left = max(0, due_at - now)
+            self._queue_timers.append(after(left, expire))
 
     def leave_queue(self) -> None:
         """Cancel the timers of the wait, which may be due much later."""
-        for timer in self.queue_timers:
+        for timer in self._queue_timers:
             timer.cancel()
-        self.queue_timers.clear()
+        self._queue_timers.clear()
 
 
 def make_ticket(call: Call, now: float) -> Ticket:
@@ -122,9 +137,7 @@
     ticket.route = call.route
     ticket.is_inner = call.is_inner
     ticket.may_wait = call.may_wait
+    ticket.team = call.team
+    ticket.team_importance = call.team_importance
+    ticket.is_repeat = call.is_repeat
     return ticket
-
-
-def runs_of(correlation: str, runs: Iterable[Run]) -> Iterator[Run]:
-    """Yield the runs of the calls with a correlation id."""
-    return (run for run in runs if run.call.correlation == correlation)
--- a/bluebellsill/target_runner.py
+++ b/bluebellsill/target_runner.py
@@ -14,9 +14,11 @@
 from bluebellsill.http import Request, Response
 from bluebellsill.http_exchange import HttpFailure
 from bluebellsill.messages import Answer, Call, Failure, Refusal
-from bluebellsill.outcome_recorder import OutcomeRecorder, is_error
+from bluebellsill.outcome_recorder import OutcomeRecorder
+from bluebellsill.overload import LoadShedding
 from bluebellsill.reply_builder import ReplyBuilder
-from bluebellsill.runs import Run, TargetOwner, make_ticket, runs_of
+from bluebellsill.run_table import RunTable
+from bluebellsill.runs import Run, TargetOwner, make_ticket
 from bluebellsill.slowness_meter import SlownessMeter
 from bluebellsill.target_dialect import (
     NativeDialect,
@@ -29,7 +31,7 @@
 from bluebellsill.watch_rules import DEFAULT_WATCH_RULES, WatchRules
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator
+    from collections.abc import Callable
 
     from bluebellsill.metrics import Metrics
     from bluebellsill.quarantine import Quarantine
@@ -54,6 +56,7 @@
         gate: Admission | None = None,
         dialect: TargetDialect | None = None,
         rules: WatchRules = DEFAULT_WATCH_RULES,
+        shedding: LoadShedding | None = None,
     ) -> None:
         """Create a runner without an announced target.
 
@@ -67,6 +70,7 @@
             dialect: HTTP conventions of the target; the native ones by
                 default.
             rules: Timing of the target's health monitoring.
+            shedding: Learns which routes fail below, if the gate uses it.
         """
         self.gate: Admission = gate or AdaptiveGate(1)
         self._dialect: TargetDialect = dialect or NativeDialect()
@@ -79,7 +83,9 @@
             self._dialect, self._clock, self._on_directive
         )
         self.breaker = Breaker()
-        self._outcomes = OutcomeRecorder(self.breaker, self.gate, self._clock)
+        self._outcomes = OutcomeRecorder(
+            self.gate, self.breaker, shedding or LoadShedding(), self._clock
+        )
         self.watch = TargetWatch(
             reactor,
             TargetWatchEvents(self, owner),
@@ -87,7 +93,7 @@
             self._dialect,
             rules,
         )
-        self._runs_by_ticket: dict[Ticket, Run] = {}
+        self.runs = RunTable()
         self._admission_timer: Timer | None = None
         self._slowness_meter = SlownessMeter(
             reactor.timers,
@@ -167,11 +173,11 @@
         if decision is Decision.REFUSE:
             respond(self._replies.refusal(call, ErrorKind.OVERLOADED, ticket))
             return None
-        self._runs_by_ticket[ticket] = run
+        self.runs[ticket] = run
         if decision is Decision.RUN:
             self._dispatch(run)
         else:
-            run.join_queue(self._reactor.timers, self._expire_queue)
+            run.expire_with(self._reactor.timers.after, self._expire_queue, now)
             self._expire_queue()
             self._schedule_admission(now)
             self._slowness_meter.start()
@@ -183,32 +189,32 @@
         A running call that is not idempotent continues, because cancelling
         it would leave unknown how much of it was executed.
         """
-        if run.ticket not in self._runs_by_ticket:
+        if run not in self.runs:
             return
         if self.gate.withdraw(run.ticket):
-            del self._runs_by_ticket[run.ticket]
+            self.runs.pop(run.ticket)
             run.leave_queue()
             return
         if not run.call.is_idempotent and not run.awaits_body:
             return
-        del self._runs_by_ticket[run.ticket]
+        self.runs.pop(run.ticket)
         if run.exchange is not None:
             run.exchange.cancel()
         self._release_slot(run.ticket)
 
-    def running_ids(self) -> Iterator[str]:
-        """Return the correlation ids of the running calls."""
-        for run in self._runs_by_ticket.values():
-            if run.is_started:
-                yield run.call.correlation
+    def refuse_waiting(self, run: Run) -> None:
+        """Refuse a call whose time is over, unless it has started."""
+        if run.awaits_body:
+            self.refuse_without_body(run, ErrorKind.EXPIRED)
+        elif self.gate.withdraw(run.ticket):
+            self._respond_refused(run.ticket, ErrorKind.EXPIRED)
 
     def refuse_queue(self, kind: ErrorKind) -> None:
         """Refuse every call that is queued or awaits its body."""
         for ticket in self.gate.drop_queue():
             self._respond_refused(ticket, kind)
-        for run in tuple(self._runs_by_ticket.values()):
-            if run.awaits_body:
-                self.refuse_without_body(run, kind)
+        for run in self.runs.without_body():
+            self.refuse_without_body(run, kind)
 
     def on_body(self, run: Run, body: bytes) -> None:
         """Take the body of a call; start the call if it has a slot."""
@@ -224,18 +230,20 @@
 
     def refuse_without_body(self, run: Run, kind: ErrorKind) -> None:
         """Refuse a call whose body has not arrived, and free its slot."""
-        if run.ticket in self._runs_by_ticket:
+        if run in self.runs:
             self.cancel(run)
             run.respond(self._replies.refusal(run.call, kind))
 
-    def on_downstream_failure(self, correlation: str) -> None:
+    def on_downstream_failure(
+        self, correlation: str, *, is_refused: bool = False
+    ) -> None:
         """Mark a run whose downstream call to another service has failed.
 
         Args:
             correlation: The correlation id of the run.
+            is_refused: Whether the downstream call was refused.
         """
-        for run in runs_of(correlation, self._runs_by_ticket.values()):
-            run.has_failed_below = True
+        self.runs.mark_failed_below(correlation, is_refused=is_refused)
 
     def close(self) -> None:
         """Close every connection to the target."""
@@ -245,7 +253,7 @@
         """Start the queued calls that may run, and schedule the others."""
         now = self._clock.now()
         for admitted in self.gate.admit(now):
-            self._dispatch(self._runs_by_ticket[admitted])
+            self._dispatch(self.runs[admitted])
         self._expire_queue()
         self._schedule_admission(now)
         self._slowness_meter.start()
@@ -266,13 +274,13 @@
         return kind
 
     def _respond_refused(self, ticket: Ticket, kind: ErrorKind) -> None:
-        run = self._runs_by_ticket.pop(ticket, None)
+        run = self.runs.pop(ticket)
         if run is not None:
             run.leave_queue()
             run.respond(self._replies.refusal(run.call, kind, ticket))
 
     def _start_with_body(self, run: Run, body: bytes) -> None:
-        if run.ticket not in self._runs_by_ticket:
+        if run not in self.runs:
             return
         kind = _no_target_reason(run.call, self.watch) or self._owner.refusal()
         if kind is not None:
@@ -292,7 +300,7 @@
         if pool is None or announcement is None or timeout <= 0:
             is_expired = timeout <= 0
             kind = ErrorKind.EXPIRED if is_expired else ErrorKind.NO_TARGET
-            self._runs_by_ticket.pop(run.ticket, None)
+            self.runs.pop(run.ticket)
             self._release_slot(run.ticket)
             run.respond(self._replies.refusal(call, kind))
             return
@@ -310,7 +318,7 @@
         run: Run,
         outcome: Result[Response, HttpFailure],
     ) -> None:
-        if self._runs_by_ticket.pop(run.ticket, None) is None:
+        if self.runs.pop(run.ticket) is None:
             return
         if isinstance(outcome, Err):
             self._on_failed(run, outcome.err_value)
@@ -330,10 +338,7 @@
             refusal = self._replies.refusal(call, rejection, has_arrived=True)
             run.respond(refusal)
             return
-        has_failed_below = run.has_failed_below and is_error(response)
-        # A failure of a downstream service says nothing about this target.
-        if not has_failed_below:
-            self._outcomes.record(run.ticket, response)
+        has_failed_below = self._outcomes.on_answered(run, response)
         if self._quarantine.on_answer(call.fingerprint):
             self._owner.on_cleared(call.fingerprint)
         run.respond(
@@ -346,21 +351,17 @@
 
     def _on_failed(self, run: Run, failure: HttpFailure) -> None:
         call = run.call
-        if failure.is_timeout:
-            self.gate.on_overload()
-            run.respond(Failure(call.id, ErrorKind.TIMED_OUT.value, False))
-            return
         if not failure.is_sent:
-            # The connection was never established, so the call did not run.
+            # The target has received nothing, so the call did not run.
             self.watch.check_connectivity()
             run.respond(self._replies.refusal(call, ErrorKind.NO_TARGET))
             return
+        if failure.is_timeout:
+            self.gate.on_overload()
+            run.respond(Failure(call.id, ErrorKind.TIMED_OUT.value, False))
+            return
         self.breaker.on_failure(self._clock.now())
-        others = self._runs_by_ticket.values()
-        fingerprints = [
-            call.fingerprint,
-            *(one.call.fingerprint for one in others if one.is_started),
-        ]
+        fingerprints = [call.fingerprint, *self.runs.running_fingerprints()]
         self.gate.on_overload()
         # The failure is sent only after the other nodes were told of a crash.
         self.watch.on_loss(
--- a/bluebellsill/target_side.py
+++ b/bluebellsill/target_side.py
@@ -9,6 +9,12 @@
 from bluebellsill.errors import ErrorKind
 from bluebellsill.http_server import HttpServer
 from bluebellsill.logs import get_logger
+from bluebellsill.overload import (
+    ORDER_LOG_PERIOD,
+    LoadShedding,
+    OrderMonitor,
+    OrderSwitch,
+)
 from bluebellsill.peer_calls import PeerCalls
 from bluebellsill.platform.endpoints import TargetReportApi
 from bluebellsill.platform.target_dialect import PlatformDialect
@@ -44,6 +50,7 @@
     Attributes:
         runner: Sends every request to the target.
         bodies: Receives the bodies of the calls of other nodes.
+        order: The order of the queue, which follows the routing document.
     """
 
     def __init__(
@@ -62,11 +69,15 @@
         target = settings.target
         period = target.report_period_ms / _MS_PER_SECOND
         is_first = settings.node.is_first_start
+        order = OrderSwitch(settings.overload.order)
+        shedding = LoadShedding(order)
         self._settings = target
         self._was_zone_out = False
         self._log = get_logger('node')
         self._is_first_start = is_first
-        self._gate = SlotGate(_cold_rate_allowance(settings.enforced_bounds()))
+        self._gate = SlotGate(
+            _cold_rate_allowance(settings.enforced_bounds()), shedding
+        )
         self.runner = TargetRunner(
             reactor,
             owner,
@@ -82,8 +93,12 @@
                 if is_first
                 else _CONFIRM_AFTER_PERIODS * period,
             ),
+            shedding,
         )
         self.bodies = BodyReceiver(reactor.timers, metrics)
+        self.order = order
+        monitor = OrderMonitor(order, metrics, reactor.timers.clock)
+        reactor.timers.every(ORDER_LOG_PERIOD, monitor.log)
         self._report_filter = ReportFilter()
         self._report_server = HttpServer(
             reactor,
