Let nested calls use all slots where load is shed

Cause: the concurrency with the highest throughput is below the slots of targets that slow down when nearly full, so nested calls of 40 ms waited behind parents while these held slots elsewhere. Change: with load shedding, a nested call may start up to the slots that the target states.

--- a/bluebellsill/measured_slots.py
+++ b/bluebellsill/measured_slots.py
@@ -42,6 +42,11 @@
         """The number of calls that may run at a time."""
         return self._concurrency.best_concurrency
 
+    @property
+    def slots(self) -> int:
+        """The number of calls that the target states it can run at a time."""
+        return self._concurrency.slots
+
     def on_answer(self, ticket: Ticket, now: float) -> None:
         """Record a complete answer."""
         seconds = (now - ticket.started_at) / ticket.slowness
--- a/bluebellsill/slot_gate.py
+++ b/bluebellsill/slot_gate.py
@@ -170,15 +170,16 @@
         Returns:
             None if no call waits, or if the calls wait for something else.
         """
-        if not self._queue or len(self._running) >= self.limit:
+        limit = self._limit_for_queue()
+        if not self._queue or len(self._running) >= limit:
             return None
-        if self.occupied >= self.limit:
+        if self.occupied >= limit:
             return _LOAD_CHECK_PERIOD
         return self._start_delay(now) or None
 
     def needs_slowness_report(self, now: float) -> bool:
         """Return whether only an outdated report keeps a call waiting."""
-        could_start = len(self._running) < self.limit and any(
+        could_start = len(self._running) < self._limit_for_queue() and any(
             self.untracked or self._free_slots(one, now) > 0
             for one in self._queue
         )
@@ -233,7 +234,7 @@
 
     def _free_slots(self, ticket: Ticket, now: float) -> int:
         """Return the free slots that a call may use."""
-        limit = self.limit
+        limit = self._limit_for(ticket)
         free = limit - self.occupied
         reserved = self.shedding.reserved_slots(limit, now)
         if ticket.is_inner or not reserved:
@@ -241,12 +242,22 @@
         nested = sum(one.is_inner for one in self._running)
         return min(free, free + nested - reserved)
 
+    def _limit_for(self, ticket: Ticket) -> int:
+        """Return how many calls may run once a call has started.
+
+        A nested call may use all slots: its parent holds one while it waits.
+        """
+        uses_all = ticket.is_inner and self.shedding.is_on
+        return self.slots if uses_all else self.limit
+
+    def _limit_for_queue(self) -> int:
+        return max(map(self._limit_for, self._queue), default=self.limit)
+
     def _slots_free_in(self, ticket: Ticket, now: float) -> list[float]:
         """Return a heap of the seconds until slots are free for a call."""
         running = self._running
-        if not ticket.is_inner and self.shedding.reserved_slots(
-            self.limit, now
-        ):
+        reserved = self.shedding.reserved_slots(self.limit, now)
+        if reserved and not ticket.is_inner:
             running = {one for one in running if not one.is_inner} or running
         return self._free_in(self._free_slots(ticket, now), running, now)
 
@@ -327,8 +338,8 @@
         )
 
     def _has_capacity(self, now: float) -> bool:
-        has_slot = self.occupied < self.limit
-        return has_slot and not self._start_delay(now)
+        is_full = self.occupied >= self._limit_for_queue()
+        return not (is_full or self._start_delay(now))
 
     def _start_delay(self, now: float) -> float:
         """Return the seconds until the target's rates allow a start."""
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -384,3 +384,27 @@
     for _patience in (9, 0.15):
         print(f'lookups wait for {_patience} s')
         _print_table(range(3), _patience)
+
+
+def test_nested_call_uses_the_slots_that_slow_the_target_down() -> None:
+    """Its parent held a slot of another target for longer than it works."""
+    switch = OrderSwitch('cost')
+    gate = SlotGate(shedding=LoadShedding(switch))
+    gate.resize(3)
+    for answer in range(400):
+        ticket = Ticket(
+            0, expires_at=1e9, route='r', concurrency=1 + answer % 3
+        )
+        ticket.started_at = 0
+        seconds = 0.2 if ticket.concurrency == 3 else 0.1
+        gate.on_answer(ticket, seconds)
+    assert gate.limit == 2
+    gate.on_slowness(1, 0)
+    for _ in range(2):
+        assert gate.offer(Ticket(0, 1e9), 0)[0] is Decision.RUN
+    waiting = Ticket(0, 1e9)
+    nested = Ticket(0, 1e9, is_inner=True)
+    assert gate.offer(waiting, 0)[0] is Decision.WAIT
+    gate.offer(nested, 0)
+    assert gate.admit(0) == [nested]
+    assert gate.in_flight == 3
