Refuse waiting calls whose key has been removed

A key that a new version of the routing document removed went on working for calls that waited in the queue of a target's node, because a call did not say by which key it had been accepted.

Calls carry the tag of their key and the version of the document that had it. The entry node ends such a call with 401 and sends it to no other target.

The queue is now emptied by withdrawing calls, so gates need no drop_queue.

--- a/bluebellsill/admission.py
+++ b/bluebellsill/admission.py
@@ -88,9 +88,6 @@
     def expire(self, now: float) -> list[Ticket]:
         """Remove and return the calls that may not wait any longer."""
 
-    def drop_queue(self) -> list[Ticket]:
-        """Remove and return every waiting call."""
-
     def delay_until_start(self, now: float) -> float | None:
         """Return the seconds until ``admit`` is due, None if nothing is."""
 
@@ -155,12 +152,6 @@
         self._queue.remove(ticket)
         return True
 
-    def drop_queue(self) -> list[Ticket]:
-        """Remove and return every waiting call."""
-        dropped = self._queue
-        self._queue = []
-        return dropped
-
 
 class AdaptiveGate(CallTracker):
     """Limits concurrency at one target to what its latencies allow.
--- a/bluebellsill/dispatch.py
+++ b/bluebellsill/dispatch.py
@@ -309,7 +309,7 @@
         return problem
 
     def on_abandoned(self) -> None:
-        """Handle a caller that has disconnected."""
+        """End the attempt in progress, as the call goes no further."""
         self._end_attempt()
 
     def _next_attempt(self, problem: Problem) -> Attempt | Problem:
--- a/bluebellsill/filters.py
+++ b/bluebellsill/filters.py
@@ -63,6 +63,10 @@
         fingerprint: A hash that is the same for equal requests.
         tenant: The tenant that the call is counted for.
         team: The team whose key the request carries, None without one.
+        key_tag: The tag of that key if the route needs one, else empty.
+        key_version: The version of the routing document that has the key.
+        unknown_key: A key that no document in force had so far; it may be
+            looked up again in a later one.
         granted_by: The nodes that granted the claim of the idempotency key.
     """
 
@@ -79,6 +83,9 @@
     fingerprint: int = 0
     tenant: str = ''
     team: Team | None = None
+    key_tag: bytes = field(default=b'', repr=False)
+    key_version: int = 0
+    unknown_key: str = field(default='', repr=False)
     granted_by: list[str] = field(default_factory=list)
 
     def __post_init__(self) -> None:
--- a/bluebellsill/mesh_node.py
+++ b/bluebellsill/mesh_node.py
@@ -41,6 +41,7 @@
 from bluebellsill.resources import Service
 from bluebellsill.streams import Address
 from bluebellsill.target_side import TargetSide
+from bluebellsill.teams import RevokedKeys
 from bluebellsill.timers import TimerService
 from bluebellsill.view_age import ViewAge
 
@@ -48,6 +49,7 @@
     from collections.abc import Callable
 
     from bluebellsill.mesh_settings import MeshSettings
+    from bluebellsill.messages import Call
 
 __all__ = ('MeshNode',)
 
@@ -102,10 +104,12 @@
 
     # Called by the target runner.
 
-    def refusal(self) -> ErrorKind | None:
-        """Return why this node refuses new requests, None if it accepts."""
+    def refusal(self, call: Call) -> ErrorKind | None:
+        """Return why this node refuses a call, None if it accepts it."""
         if self._state.plan is None:
             return ErrorKind.NOT_CONFIGURED
+        if self._revoked_keys.concerns(call):
+            return ErrorKind.UNAUTHORIZED
         return self._acceptance.refusal()
 
     def service_of(self, name: str) -> Service | None:
@@ -148,6 +152,7 @@
         self._state = OperatorState(decode_plan)
         self._state.subscribe(self._on_operator_change)
         LostExclusions(self._state, self._timers)
+        self._revoked_keys = RevokedKeys()
         address = Address.parse(settings.listen.peers)
         self._peers = PeerStack(
             self._reactor,
@@ -334,8 +339,13 @@
     def _on_operator_change(self) -> None:
         is_out = self._state.is_zone_out(self._peers.members.own.zone)
         self._target_side.on_zone(is_out=is_out)
-        if self._state.plan is not None:
-            self._caller_side.server.limits = self._state.plan.limits
+        plan = self._state.plan
+        if plan is not None:
+            self._caller_side.server.limits = plan.limits
+            self._revoked_keys.follow(plan.version, plan.teams)
+            self._runner.refuse_queue(
+                ErrorKind.UNAUTHORIZED, self._revoked_keys.concerns
+            )
         if not self._settings.node.is_first_start:
             self._target_side.discover_target()
         epoch = self._state.position.epoch
--- a/bluebellsill/messages.py
+++ b/bluebellsill/messages.py
@@ -123,6 +123,9 @@
             node. A call that may not wait is tried on other nodes first.
         note: What the target stated last to the entry node, None without a
             limit.
+        key_tag: The tag of the team's key, empty if none is needed.
+        key_version: The version of the routing document that had the key in
+            force at the entry node.
     """
 
     id: int
@@ -143,6 +146,8 @@
     is_inner: bool = False
     may_wait: bool = True
     note: TargetNote | None = None
+    key_tag: bytes = b''
+    key_version: int = 0
 
 
 class Answer(WireMessage, frozen=True, tag=5):
--- a/bluebellsill/node.py
+++ b/bluebellsill/node.py
@@ -27,6 +27,7 @@
 from bluebellsill.logs import bind_logs, get_logger
 from bluebellsill.membership import MemberState
 from bluebellsill.messages import (
+    Call,
     CrashReport,
     ZoneReportRequest,
 )
@@ -113,8 +114,8 @@
 
     # Called by the target runner.
 
-    def refusal(self) -> ErrorKind | None:
-        """Return why this node refuses new requests, None if it accepts."""
+    def refusal(self, call: Call) -> ErrorKind | None:
+        """Return why this node refuses a call, None if it accepts it."""
         return self._acceptance.refusal()
 
     def service_of(self, name: str) -> Service | None:
--- a/bluebellsill/outbound_call.py
+++ b/bluebellsill/outbound_call.py
@@ -149,6 +149,8 @@
             inbound.caller != EXTERNAL_CALLER,
             attempt.may_wait,
             attempt.note,
+            inbound.key_tag,
+            inbound.key_version,
         )
 
     def _target_latency_ms(self) -> int:
@@ -168,19 +170,7 @@
         if isinstance(reply, Answer):
             self._on_answer(reply)
         elif isinstance(reply, Refusal):
-            kind = _parse_error_kind(reply.kind)
-            self._apply(
-                self.dispatch.on_refusal(
-                    kind,
-                    reply.in_flight,
-                    reply.limit,
-                    has_arrived=reply.has_arrived,
-                    retry_after=reply.retry_ms / 1000,
-                    slowness=reply.slowness,
-                    failing=reply.failing,
-                    note=reply.note,
-                ),
-            )
+            self._on_refusal(reply)
         elif isinstance(reply, Failure):
             message = f'target of {self.node_id} sent no complete response'
             self._apply(
@@ -199,6 +189,28 @@
             # received the call.
             self._apply(self.dispatch.on_refusal(ErrorKind.NO_TARGET, 1, 1))
 
+    def _on_refusal(self, refusal: Refusal) -> None:
+        kind = _parse_error_kind(refusal.kind)
+        if kind is ErrorKind.UNAUTHORIZED:
+            # The key was removed, which says nothing about the target and is
+            # the same at all others.
+            self.dispatch.on_abandoned()
+            problem = Problem(kind, 'the key was removed while the call waited')
+            self._finish(self.dispatch.final_problem(problem))
+            return
+        self._apply(
+            self.dispatch.on_refusal(
+                kind,
+                refusal.in_flight,
+                refusal.limit,
+                has_arrived=refusal.has_arrived,
+                retry_after=refusal.retry_ms / 1000,
+                slowness=refusal.slowness,
+                failing=refusal.failing,
+                note=refusal.note,
+            ),
+        )
+
     def _on_answer(self, answer: Answer) -> None:
         retry = self.dispatch.on_answer(
             answer.status,
--- a/bluebellsill/runs.py
+++ b/bluebellsill/runs.py
@@ -23,8 +23,8 @@
 class TargetOwner(Protocol):
     """The interface of the node to its target runner."""
 
-    def refusal(self) -> ErrorKind | None:
-        """Return why new calls are refused, None if they are accepted."""
+    def refusal(self, call: Call) -> ErrorKind | None:
+        """Return why a new call is refused, None if it is accepted."""
 
     def service_of(self, name: str) -> Service | None:
         """Return a declared service, None if it is not declared."""
--- a/bluebellsill/target_runner.py
+++ b/bluebellsill/target_runner.py
@@ -131,12 +131,7 @@
             self.refuse_queue(ErrorKind.LEAVING)
 
     def on_probed(self, response: Response, sent_at: float) -> None:
-        """Update the target's state from the response to a probe.
-
-        Args:
-            response: The response.
-            sent_at: When the probe was sent, in seconds.
-        """
+        """Update the target's state by a probe sent at ``sent_at`` (seconds)."""
         self.directives.observe_probe(response, sent_at)
         has_room = self._slowness_meter.observe(response)
         self._slowness_meter.end()
@@ -210,17 +205,20 @@
             if run.ticket.started_at:
                 yield run.call.correlation
 
-    def refuse_queue(self, kind: ErrorKind) -> None:
-        """Refuse every queued call."""
-        for ticket in self.gate.drop_queue():
+    def refuse_queue(
+        self, kind: ErrorKind, concerns: Callable[[Call], bool] | None = None
+    ) -> None:
+        """Refuse the queued calls that ``concerns`` selects, or all."""
+        refused = [
+            ticket
+            for ticket, run in self._runs_by_ticket.items()
+            if concerns is None or concerns(run.call)
+        ]
+        for ticket in tuple(filter(self.gate.withdraw, refused)):
             self._respond_refused(ticket, kind)
 
     def on_downstream_failure(self, correlation: str) -> None:
-        """Mark a run whose downstream call to another service has failed.
-
-        Args:
-            correlation: The correlation id of the run.
-        """
+        """Mark the run of a call whose downstream call has failed."""
         for run in self._runs_by_ticket.values():
             if run.call.correlation == correlation:
                 run.has_failed_below = True
@@ -259,7 +257,7 @@
             return ErrorKind.QUARANTINED
         if call.budget_ms <= 0:
             return ErrorKind.EXPIRED
-        kind = self._owner.refusal()
+        kind = self._owner.refusal(call)
         if kind is None and not self.breaker.allows_request(now):
             return ErrorKind.TARGET_FAILING
         return kind
--- a/bluebellsill/teams/directory.py
+++ b/bluebellsill/teams/directory.py
@@ -8,6 +8,8 @@
 
 from result import Err, Ok, Result
 
+from bluebellsill.teams.key_tags import KeyTags
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -32,10 +34,16 @@
     """The teams of one version of the routing document, by their keys.
 
     It keeps digests of the keys, not the keys.
+
+    Attributes:
+        tags: The tags of the keys, which calls to other nodes carry.
     """
 
-    def __init__(self, teams_by_digest: dict[bytes, Team]) -> None:
+    def __init__(
+        self, teams_by_digest: dict[bytes, Team], tags: KeyTags
+    ) -> None:
         """Create a directory; ``build`` checks the teams first."""
+        self.tags = tags
         self._teams_by_digest = teams_by_digest
 
     @classmethod
@@ -50,20 +58,21 @@
         """
         names: set[str] = set()
         teams_by_digest: dict[bytes, Team] = {}
+        keys_by_digest: dict[bytes, bytes] = {}
         for team, keys in declared:
             if team.name in names:
                 return Err(f'team {team.name!r} is listed twice')
             names.add(team.name)
-            for key in keys:
-                owner = teams_by_digest.setdefault(
-                    digest_key(key.encode()), team
-                )
+            for key in map(str.encode, keys):
+                digest = digest_key(key)
+                keys_by_digest[digest] = key
+                owner = teams_by_digest.setdefault(digest, team)
                 if owner is not team:
                     return Err(
                         f'teams {owner.name!r} and {team.name!r} have a'
                         ' key in common'
                     )
-        return Ok(cls(teams_by_digest))
+        return Ok(cls(teams_by_digest, KeyTags(keys_by_digest)))
 
     def find(self, digest: bytes) -> Team | None:
         """Return the team of a key, None if the key is unknown.
--- a/bluebellsill/teams/team_filter.py
+++ b/bluebellsill/teams/team_filter.py
@@ -48,22 +48,31 @@
         self._may_be_nested = may_be_nested
 
     def apply(self, inbound: InboundRequest) -> Result[None, Problem]:
-        """Set the team; refuse a request that needs a known key."""
+        """Set the team; refuse a request that needs a known key.
+
+        It may be applied again to a request with an unknown key.
+        """
         plan = self._state.plan
         if plan is None or plan.teams is None:
             return Ok(None)
         stated = self._remove_header(inbound.request)
         if inbound.caller != EXTERNAL_CALLER:
             return Ok(None)
-        key = self._key(stated)
-        team = plan.teams.find(digest_key(key.encode('latin-1')))
+        key = self._key(stated) or inbound.unknown_key
+        inbound.unknown_key = ''
+        encoded = key.encode('latin-1')
+        team = plan.teams.find(digest_key(encoded))
         if key and team is not None:
             inbound.team = team
             inbound.tenant = team.name
-            return Ok(None)
         if inbound.route.is_public:
             return Ok(None)
-        if not stated and self._may_be_nested(inbound.request):
+        if inbound.team is not None:
+            inbound.key_tag = plan.teams.tags.tag(encoded)
+            inbound.key_version = plan.version
+            return Ok(None)
+        inbound.unknown_key = key
+        if not (stated or key) and self._may_be_nested(inbound.request):
             message = 'this node does not know yet what its target runs'
             return Err(Problem(ErrorKind.UNKNOWN_PARENT, message))
         reason = 'is unknown' if key else 'is missing or malformed'
--- a/tests/node_session.py
+++ b/tests/node_session.py
@@ -145,8 +145,8 @@
 
     # Called by the runner as its owner.
 
-    def refusal(self) -> ErrorKind | None:
-        """Return why this node refuses new work, or None."""
+    def refusal(self, call: Call) -> ErrorKind | None:
+        """Return why this node refuses a call, or None."""
         return self.acceptance.refusal()
 
     def service_of(self, name: str) -> Service | None:
--- a/tests/played.py
+++ b/tests/played.py
@@ -20,6 +20,8 @@
     'failing': 0,
     'has_arrived': False,
     'is_inner': False,
+    'key_tag': b'',
+    'key_version': 0,
     'may_wait': True,
     'retry_ms': 0,
     'slowness': 1,
