Look unknown keys and routes up again before they are refused

A client that used a new key before its entry node had read the routing document got 401, which tells it that the key is wrong.

While the document has teams, a request with an unknown key or without a route waits until the store is known to have had nothing newer after the request arrived, for up to 1 s or 0.8 of its stated deadline, and 64 requests at a time. It is answered as soon as a document accepts it. A view older than 2.5 s refuses unknown keys with 503 (stale, not run). The wait uses the confirmations that come in any case and makes no store call. A node that stops answers such requests with 503 instead of 401 or 404.

--- a/bluebellsill/caller_side.py
+++ b/bluebellsill/caller_side.py
@@ -15,10 +15,10 @@
 from bluebellsill.router_registry import RouterRegistry
 from bluebellsill.shared_budget import shared_budget
 from bluebellsill.streams import Address
+from bluebellsill.teams import ConfirmedLookup
 from bluebellsill.weighted_round_robin import WeightedRoundRobin
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
     from random import Random
 
     from bluebellsill.http import Request
@@ -29,7 +29,8 @@
     from bluebellsill.peer_stack import PeerStack
     from bluebellsill.quarantine import Quarantine
     from bluebellsill.reactor import Reactor
-    from bluebellsill.target_runner import TargetRunner
+    from bluebellsill.target_side import TargetSide
+    from bluebellsill.view_age import ViewAge
 
 __all__ = ('CallerSide',)
 
@@ -53,9 +54,9 @@
         state: OperatorState,
         quarantine: Quarantine,
         metrics: Metrics,
-        runner: TargetRunner,
+        target_side: TargetSide,
         random: Random,
-        may_run_unknown: Callable[[], bool],
+        view: ViewAge,
     ) -> None:
         """Bind the listener for callers.
 
@@ -66,10 +67,9 @@
             state: Provides the routing plan.
             quarantine: Records the requests that crash targets.
             metrics: Counts the outcomes of requests.
-            runner: Runs calls at the local target.
+            target_side: Runs calls at the local target.
             random: Draws ids and targets.
-            may_run_unknown: Returns whether the local target may run calls of
-                an earlier process of this node.
+            view: The age of this node's view of the store.
 
         Raises:
             OSError: The address cannot be bound.
@@ -78,7 +78,7 @@
         self.bounds: BoundSettings = settings.enforced_bounds()
         self.is_draining = False
         self._members = members
-        self._runner = runner
+        self._runner = target_side.runner
         self._service = settings.target.service
         self._clock = reactor.timers.clock
         self._interface = RouteInterface(
@@ -89,7 +89,7 @@
             quarantine,
             self._clock,
             random,
-            may_run_unknown,
+            target_side.may_run_unknown,
         )
         placement = RouterRegistry(
             members,
@@ -102,10 +102,18 @@
             self._interface,
             placement,
             peers.links,
-            runner,
+            self._runner,
             metrics,
             avoids_queues=True,
         )
+        self.gateway.lookup = ConfirmedLookup(
+            self._interface.filters,
+            CALLER_HEADERS.deadline,
+            state,
+            view,
+            reactor.timers,
+            metrics,
+        )
         self.server = HttpServer(
             reactor,
             Address.parse(settings.listen.callers),
--- a/bluebellsill/filters.py
+++ b/bluebellsill/filters.py
@@ -28,6 +28,7 @@
     'QuarantineFilter',
     'ServiceFilter',
     'run_filters',
+    'stated_milliseconds',
 )
 
 DEADLINE_HEADER = 'bluebellsill-deadline-ms'
@@ -190,17 +191,16 @@
     def apply(self, inbound: InboundRequest) -> Result[None, Problem]:
         """Set the deadline, or refuse a malformed or expired one."""
         stated_ms = inbound.request.header(self._header)
+        caller_ms = stated_milliseconds(stated_ms)
         budget_ms = int(inbound.route.timeout * 1000)
-        if stated_ms:
-            if not (stated_ms.isascii() and stated_ms.isdecimal()):
-                message = f'{self._header} {stated_ms!r} is not a whole number'
-                return Err(Problem(ErrorKind.BAD_REQUEST, message))
-            # Longer numbers cannot be converted, and are above any budget.
-            caller_ms = int(stated_ms[:_MAX_DEADLINE_DIGITS])
+        if caller_ms is not None:
             budget_ms = min(budget_ms, caller_ms)
+        elif stated_ms:
+            message = f'{self._header} {stated_ms!r} is not a whole number'
+            return Err(Problem(ErrorKind.BAD_REQUEST, message))
         inbound.deadline = inbound.received_at + budget_ms / 1000
         inbound.caller_deadline = inbound.deadline
-        if stated_ms:
+        if caller_ms is not None:
             inbound.caller_deadline = inbound.received_at + caller_ms / 1000
         if self._now() >= inbound.deadline:
             message = f'deadline of {budget_ms} ms has passed'
@@ -247,6 +247,14 @@
         return Ok(None)
 
 
+def stated_milliseconds(text: str) -> int | None:
+    """Parse the value of a deadline header, None unless it is a number."""
+    if not (text.isascii() and text.isdecimal()):
+        return None
+    # Longer numbers cannot be converted, and are above any budget.
+    return int(text[:_MAX_DEADLINE_DIGITS])
+
+
 def run_filters(
     filters: Sequence[Filter],
     inbound: InboundRequest,
--- a/bluebellsill/gateway.py
+++ b/bluebellsill/gateway.py
@@ -6,7 +6,7 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
-from result import Err
+from result import Err, Result
 
 from bluebellsill.caller_retries import CallerRetryTracker
 from bluebellsill.dispatch import Dispatch
@@ -28,6 +28,7 @@
     from bluebellsill.peers import PeerLinks
     from bluebellsill.router_registry import RouterRegistry
     from bluebellsill.target_runner import TargetRunner
+    from bluebellsill.teams import ConfirmedLookup
 
 __all__ = ('Gateway',)
 
@@ -47,6 +48,8 @@
         in_flight: Requests that have not been answered yet.
         ends_at: When the process ends, in seconds; a request whose deadline
             is later is refused. None while no end is planned.
+        lookup: Delays the refusal of requests that a newer routing document
+            may accept; None if refusals are final.
     """
 
     def __init__(
@@ -78,6 +81,7 @@
         """
         self.in_flight = 0
         self.ends_at: float | None = None
+        self.lookup: ConfirmedLookup | None = None
         self._own_id = own_id
         self._interface = interface
         self._router_registry = router_registry
@@ -101,19 +105,15 @@
         """
         inbound = self._make_inbound(request, caller)
         filtered = run_filters(self._interface.filters, inbound)
-        if isinstance(filtered, Err):
-            # An earlier attempt with the same idempotency key may have run.
-            run = RunStatus.UNKNOWN if inbound.key else None
-            self._respond(inbound, reply, filtered.err_value, run)
+        if self.lookup is None:
+            self._on_filtered(inbound, reply, filtered)
             return
-        if self.ends_at is not None and inbound.deadline > self.ends_at:
-            self._respond(inbound, reply, _stopping_problem(ErrorKind.LEAVING))
-            return
-        self._match_retry(inbound)
-        if inbound.key and self._key_holders is not None:
-            self._handle_keyed(inbound, reply, self._key_holders)
-        else:
-            self._handle_plain(inbound, reply)
+        reply.on_abandoned = lambda: self._on_lookup_abandoned(inbound)
+        self.lookup.settle(
+            inbound,
+            filtered,
+            lambda settled: self._on_filtered(inbound, reply, settled),
+        )
 
     def refuse(self, request: Request, reply: Reply, kind: ErrorKind) -> None:
         """Refuse a request without sending it to a target.
@@ -128,7 +128,9 @@
         inbound = self._make_inbound(request, EXTERNAL_CALLER)
         filtered = run_filters(self._interface.filters, inbound)
         problem = _stopping_problem(kind)
-        if isinstance(filtered, Err):
+        # A node that stops does not wait for the document of another one.
+        may_change = self.lookup and self.lookup.may_change(inbound, filtered)
+        if isinstance(filtered, Err) and not may_change:
             problem = filtered.err_value
         self._respond(inbound, reply, problem)
 
@@ -142,6 +144,28 @@
             one.call.cancel()
             self._respond(one.inbound, reply, problem)
 
+    def _on_filtered(
+        self,
+        inbound: InboundRequest,
+        reply: Reply,
+        filtered: Result[None, Problem],
+    ) -> None:
+        """Serve a request that the filters have accepted."""
+        reply.on_abandoned = None
+        if isinstance(filtered, Err):
+            # An earlier attempt with the same idempotency key may have run.
+            run = RunStatus.UNKNOWN if inbound.key else None
+            self._respond(inbound, reply, filtered.err_value, run)
+            return
+        if self.ends_at is not None and inbound.deadline > self.ends_at:
+            self._respond(inbound, reply, _stopping_problem(ErrorKind.LEAVING))
+            return
+        self._match_retry(inbound)
+        if inbound.key and self._key_holders is not None:
+            self._handle_keyed(inbound, reply, self._key_holders)
+        else:
+            self._handle_plain(inbound, reply)
+
     def _handle_plain(self, inbound: InboundRequest, reply: Reply) -> None:
         call = self._make_call(
             inbound,
@@ -225,18 +249,28 @@
     def _on_abandoned(
         self, inbound: InboundRequest, reply: Reply, call: OutboundCall
     ) -> None:
-        self.in_flight -= 1
         self._open_calls_by_reply.pop(reply, None)
+        self._record_abandoned(inbound, call.node_id)
+        call.cancel()
+        self._remember_unserved(inbound)
+
+    def _on_lookup_abandoned(self, inbound: InboundRequest) -> None:
+        self._record_abandoned(inbound)
+        if self.lookup is not None:
+            self.lookup.on_abandoned(inbound)
+
+    def _record_abandoned(
+        self, inbound: InboundRequest, node_id: str = ''
+    ) -> None:
+        self.in_flight -= 1
         self._metrics.counts['abandoned'] += 1
         self._log.info(
             'caller disconnected',
             correlation=inbound.correlation,
             service=inbound.service_name,
-            node=call.node_id,
+            node=node_id,
             after_ms=self._elapsed_ms(inbound),
         )
-        call.cancel()
-        self._remember_unserved(inbound)
 
     def _respond(
         self,
--- a/bluebellsill/mesh_node.py
+++ b/bluebellsill/mesh_node.py
@@ -240,9 +240,9 @@
             self._state,
             self._quarantine,
             self._metrics,
-            self._runner,
+            self._target_side,
             self._random,
-            self._target_side.may_run_unknown,
+            self._view,
         )
         self._ready_server = HttpServer(
             self._reactor,
