Count refusals by team, and test keys that change with real processes

Refusals were counted by kind only, so an operator could not see whose requests were refused. Metrics count them by team, for up to 128 names and one that the others share; 129 names take less than 30 KB.

Processes on loopback show that calls waiting at a target end with 401 once their key is removed, that new keys and routes work while the store answers 150 ms late, and that an old view answers 503 to an unknown key.

--- a/bluebellsill/exposition.py
+++ b/bluebellsill/exposition.py
@@ -43,6 +43,14 @@
         for name, count in self._metrics.counts.items():
             events.add_metric((name,), count)
         yield events
+        refusals = CounterMetricFamily(
+            'bluebellsill_refusals',
+            'Requests of each team that were refused without being run',
+            labels=('tenant',),
+        )
+        for team, count in self._metrics.refusals_by_team.items():
+            refusals.add_metric((team,), count)
+        yield refusals
         gauges = GaugeMetricFamily(
             'bluebellsill_state',
             'What the node has now',
--- a/bluebellsill/gateway.py
+++ b/bluebellsill/gateway.py
@@ -310,6 +310,8 @@
 
     def _log_problem(self, inbound: InboundRequest, problem: Problem) -> None:
         self._metrics.counts[f'answered_{problem.kind.value}'] += 1
+        if inbound.team and problem.response.run is RunStatus.NOT_RUN:
+            self._metrics.count_refusal(inbound.team.name)
         self._log.info(
             'call failed',
             correlation=inbound.correlation,
--- a/bluebellsill/metrics.py
+++ b/bluebellsill/metrics.py
@@ -10,7 +10,7 @@
 from bluebellsill.resources import DEFAULT_CLASS
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Callable, Collection, Mapping
 
 __all__ = ('LatencyHistogram', 'Metrics', 'summarize')
 
@@ -92,11 +92,19 @@
 
 
 class Metrics:
-    """The counters, gauges and latency histograms of one node."""
+    """The counters, gauges and latency histograms of one node.
+
+    Attributes:
+        counts: The events so far.
+        gauges: The functions that return the current values.
+        refusals_by_team: Requests of each team that were refused without being
+            run. Beyond 128 names, further teams share one.
+    """
 
     def __init__(self) -> None:
         """Create empty metrics."""
         self.counts: Counter[str] = Counter()
+        self.refusals_by_team: Counter[str] = Counter()
         self.gauges: dict[str, Callable[[], float]] = {}
         self._by_service = _RecentHistograms()
         self._by_class = _RecentHistograms()
@@ -115,11 +123,11 @@
         self._by_service.of(service).record(seconds)
         if request_class != DEFAULT_CLASS:
             self._by_class.of(f'{service}/{request_class}').record(seconds)
-        if tenant not in self._by_tenant and (
-            len(self._by_tenant) >= _MAX_TENANTS
-        ):
-            tenant = _OTHER_TENANTS
-        self._by_tenant[tenant].record(seconds)
+        self._by_tenant[_bounded(tenant, self._by_tenant)].record(seconds)
+
+    def count_refusal(self, team: str) -> None:
+        """Count a request of a team that was refused without being run."""
+        self.refusals_by_team[_bounded(team, self.refusals_by_team)] += 1
 
     @property
     def latencies_by_kind(self) -> Mapping[str, Mapping[str, LatencyHistogram]]:
@@ -134,12 +142,19 @@
         """Return the counters and histogram summaries as JSON types."""
         return {
             'counts': dict(self.counts),
+            'refusals_by_team': dict(self.refusals_by_team),
             'by_service': summarize(self._by_service),
             'by_class': summarize(self._by_class),
             'by_tenant': summarize(self._by_tenant),
         }
 
 
+def _bounded(name: str, known: Collection[str]) -> str:
+    """Return a tenant's name, or the one that all beyond the bound share."""
+    is_new = name not in known
+    return _OTHER_TENANTS if is_new and len(known) >= _MAX_TENANTS else name
+
+
 def summarize(
     by_name: dict[str, LatencyHistogram],
 ) -> dict[str, dict[str, float]]:
--- a/tests/test_confirmed_lookup.py
+++ b/tests/test_confirmed_lookup.py
@@ -353,6 +353,19 @@
     assert kinds == ['leaving', 'unauthorized']
 
 
+def test_refusals_are_counted_by_team() -> None:
+    """Requests without a known key have no team and need no name."""
+    entry = _Entry()
+    gateway = _gateway(entry)
+    gateway.ends_at = 0
+    for key in (_KEY, _NEW_KEY):
+        gateway.handle(_request(key), _Reply(), EXTERNAL_CALLER)  # type: ignore[arg-type]
+    entry.advance(1.1)
+    assert entry.metrics.counts['answered_leaving'] == 1
+    assert entry.metrics.counts['answered_unauthorized'] == 1
+    assert entry.metrics.refusals_by_team == {'a': 1}
+
+
 def _play_lookups(seed: int, *, has_lookups: bool) -> tuple[int, list[float]]:
     """Return the store calls of some nodes, and the waits of lookups."""
     world = World((4, 3, 3), seed)
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -56,6 +56,23 @@
     assert kept_bytes < 400_000
 
 
+def test_refusals_are_counted_by_team_in_bounded_memory() -> None:
+    node_metrics = Metrics()
+    tracemalloc.start()
+    for team in range(1000):
+        node_metrics.count_refusal(f'team-{team}')
+    node_metrics.count_refusal('team-0')
+    kept_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    refusals = node_metrics.document()['refusals_by_team']
+    assert len(refusals) == 129
+    assert refusals['team-0'] == 2
+    assert refusals['other'] == 872
+    assert kept_bytes < 30_000
+    text = exposition(node_metrics).decode()
+    assert 'bluebellsill_refusals_total{tenant="team-0"} 2.0' in text
+
+
 def test_classes_have_their_own_histograms() -> None:
     node_metrics = Metrics()
     node_metrics.record('bookings', 'payments', 'club', 0.02)
--- a/tests/test_team_path.py
+++ b/tests/test_team_path.py
@@ -5,17 +5,21 @@
 import http.client
 import json
 import time
+from base64 import b64encode
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any
 
 import pytest
 
 from bluebellsill.platform.headers import CREDENTIALS, REQUEST_ID, TEAM
+from bluebellsill.teams import Team, TeamDirectory
 from demo.mesh_harness import (
     HOST,
     MeshDeployment,
     Reply,
+    fetch,
     running,
     wait_until,
 )
@@ -33,7 +37,9 @@
     path_rule('/shop/', 'shop'),
     path_rule('/pay/', 'pay', route_type='non_idempotent'),
     path_rule('/open/', 'shop', public=True),
+    path_rule('/slow/', 'shop', timeout_ms=9000, target_latency_ms=9000),
 ]
+_SLOTS = 6  # of a stand-in target
 
 
 @pytest.fixture
@@ -171,6 +177,114 @@
         one.close()
 
 
+def _at_target(found: MeshDeployment, vm: Any) -> int:
+    """Return how many calls run or wait at the target of a VM."""
+    text = fetch(vm.ports['metrics'], 'GET', '/metrics').body.decode()
+    start = 'bluebellsill_state{of="at_target"} '
+    lines = [one for one in text.splitlines() if one.startswith(start)]
+    return int(float(lines[0].removeprefix(start)))
+
+
+@pytest.mark.parametrize('entry', [0, 1])
+def test_removed_key_ends_calls_that_wait_at_a_target(
+    deployment: MeshDeployment, entry: int
+) -> None:
+    """They ran some seconds after the key had been removed."""
+    target, vm = deployment.vms[0], deployment.vms[entry]
+
+    def call(name: str, key: str) -> tuple[str, Reply, float]:
+        work_ms = 5000 if name.startswith('runs') else 10
+        path = f'/slow/x?work={work_ms}'
+        reply = _call(deployment, vm, path, key, name=name, deadline_ms=9000)
+        return name, reply, time.monotonic()
+
+    with ThreadPoolExecutor(2 * _SLOTS) as pool:
+        runs = [
+            pool.submit(call, f'runs-{number}', key)
+            for number, key in enumerate(3 * (_KEY, _OTHER_KEY))
+        ]
+        wait_until(
+            lambda: _at_target(deployment, target) == _SLOTS,
+            'the target is full',
+        )
+        waits = [pool.submit(call, f'waits-{one}', _KEY) for one in range(3)]
+        other = pool.submit(call, 'waits-with-key', _OTHER_KEY)
+        wait_until(
+            lambda: _at_target(deployment, target) == _SLOTS + 4,
+            'calls wait for the target',
+        )
+        _declare(
+            deployment, tenant('club', _SECOND_KEY), tenant('den', _OTHER_KEY)
+        )
+        declared_at = time.monotonic()
+        for name, reply, ended_at in (one.result() for one in waits):
+            assert reply.status == 401, name
+            assert reply.headers['bluebellsill-run'] == 'not-run'
+            assert ended_at - declared_at < _APPLY_SECONDS
+        statuses = {one.result()[1].status for one in (*runs, other)}
+    assert statuses == {200}
+    received = set(_received(deployment))
+    assert {'runs-0', 'waits-with-key'} < received
+    assert not received & {f'waits-{one}' for one in range(3)}
+    _assert_no_tag(deployment)
+
+
+def _assert_no_tag(found: MeshDeployment) -> None:
+    """Check that no log has the tag of a key."""
+    teams = [(Team('club'), [_KEY]), (Team('den'), [_OTHER_KEY])]
+    tags = TeamDirectory.build(teams).unwrap().tags
+    for vm in found.vms:
+        log = (found.folder / f'{vm.name}.log').read_text(encoding='utf-8')
+        for key in (_KEY, _OTHER_KEY):
+            tag = tags.tag(key.encode())
+            forms = (tag.hex(), b64encode(tag).decode()[:10], repr(tag)[2:-1])
+            assert not [form for form in forms if form in log]
+
+
+def test_new_key_and_new_route_work_before_their_document_is_read(
+    deployment: MeshDeployment,
+) -> None:
+    """The owner of a new key got 401 from nodes that lagged."""
+    deployment.set_store_faults(delay_ms=150)
+    for number in range(4):
+        key, path = f'{_UNKNOWN_KEY}-{number}', f'/new-{number}/x'
+        deployment.declare(
+            [*_ROUTES, path_rule(f'/new-{number}/', 'shop')],
+            tenants=[tenant('club', _KEY), tenant('den', key)],
+        )
+        for vm in deployment.vms:
+            assert _call(deployment, vm, path, key).status == 200, number
+    for vm in deployment.vms:
+        started_at = time.monotonic()
+        assert _call(deployment, vm, '/shop/x', _UNKNOWN_KEY).status == 401
+        assert _call(deployment, vm, '/none/x').status == 404
+        assert time.monotonic() - started_at < 2.2
+
+
+def test_node_with_an_old_view_refuses_unknown_keys_as_not_run(
+    deployment: MeshDeployment,
+) -> None:
+    """The key may have been added since; known keys go on working."""
+    deployment.set_store_faults(refuses=True)
+    time.sleep(_APPLY_SECONDS + 1)
+    for vm in deployment.vms:
+        reply = _call(deployment, vm, '/shop/x', _UNKNOWN_KEY)
+        assert reply.status == 503
+        assert reply.headers['bluebellsill-error'] == 'stale'
+        assert reply.headers['bluebellsill-run'] == 'not-run'
+        assert _call(deployment, vm, '/shop/x').status == 200
+        assert _call(deployment, vm, '/shop/x', '').status == 401
+    deployment.set_store_faults()
+    for vm in deployment.vms:
+        wait_until(
+            lambda vm=vm: (  # type: ignore[misc]
+                _call(deployment, vm, '/shop/x', _UNKNOWN_KEY).status == 401
+            ),
+            'the node knows that the key is wrong',
+            5,
+        )
+
+
 def test_rejected_document_leaves_the_keys_in_force(
     deployment: MeshDeployment,
 ) -> None:
