--- a/bluebellsill/messages.py
+++ b/bluebellsill/messages.py
@@ -136,6 +136,9 @@
         team_importance: Calls of teams of lower importance are shed first; it
             precedes ``priority``.
         is_repeat: Whether the client sends the request again after a refusal.
+        key_tag: The tag of the team's key, empty if none is needed.
+        key_version: The version of the routing document that had the key in
+            force at the entry node.
     """
 
     id: int
@@ -160,6 +163,8 @@
     team: str = ''
     team_importance: int = 0
     is_repeat: bool = False
+    key_tag: bytes = b''
+    key_version: int = 0
 
 
 class Answer(WireMessage, frozen=True, tag=5):
--- a/bluebellsill/outbound_call.py
+++ b/bluebellsill/outbound_call.py
@@ -160,6 +160,8 @@
             team=inbound.team.name if inbound.team else '',
             team_importance=inbound.team.importance if inbound.team else 0,
             is_repeat=inbound.first_attempt_at < inbound.received_at,
+            key_tag=inbound.key_tag,
+            key_version=inbound.key_version,
         )
 
     def _target_latency_ms(self) -> int:
@@ -179,20 +181,7 @@
         if isinstance(reply, Answer):
             self._on_answer(reply)
         elif isinstance(reply, Refusal):
-            kind = _parse_error_kind(reply.kind, ErrorKind.OVERLOADED)
-            self._apply(
-                self.dispatch.on_refusal(
-                    kind,
-                    reply.in_flight,
-                    reply.limit,
-                    has_arrived=reply.has_arrived,
-                    retry_after=reply.retry_ms / 1000,
-                    queue_seconds=(reply.queue_ms or reply.retry_ms) / 1000,
-                    slowness=reply.slowness,
-                    failing=reply.failing,
-                    note=reply.note,
-                ),
-            )
+            self._on_refusal(reply)
         elif isinstance(reply, Failure):
             message = f'target of {self.node_id} sent no complete response'
             self._apply(
@@ -211,6 +200,29 @@
             # was never established, or a part of the body was not sent.
             self._apply(self.dispatch.on_refusal(ErrorKind.NO_TARGET, 1, 1))
 
+    def _on_refusal(self, refusal: Refusal) -> None:
+        kind = _parse_error_kind(refusal.kind, ErrorKind.OVERLOADED)
+        if kind is ErrorKind.UNAUTHORIZED:
+            # The key was removed, which says nothing about the target and is
+            # the same at all others.
+            self.dispatch.on_abandoned()
+            problem = Problem(kind, 'the key was removed while the call waited')
+            self._finish(self.dispatch.final_problem(problem))
+            return
+        self._apply(
+            self.dispatch.on_refusal(
+                kind,
+                refusal.in_flight,
+                refusal.limit,
+                has_arrived=refusal.has_arrived,
+                retry_after=refusal.retry_ms / 1000,
+                queue_seconds=(refusal.queue_ms or refusal.retry_ms) / 1000,
+                slowness=refusal.slowness,
+                failing=refusal.failing,
+                note=refusal.note,
+            ),
+        )
+
     def _on_answer(self, answer: Answer) -> None:
         retry = self.dispatch.on_answer(
             answer.status,
--- a/bluebellsill/run_table.py
+++ b/bluebellsill/run_table.py
@@ -5,9 +5,10 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
     from bluebellsill.admission import Ticket
+    from bluebellsill.messages import Call
     from bluebellsill.runs import Run
 
 __all__ = ('RunTable',)
@@ -36,19 +37,21 @@
         """Remove and return a call that has ended, None if it is not known."""
         return self._by_ticket.pop(ticket, None)
 
-    def all(self) -> list[Run]:
-        """Return the calls that wait or run."""
-        return list(self._by_ticket.values())
-
     def running_ids(self) -> Iterator[str]:
         """Yield the correlation ids of the running calls."""
         for run in self._by_ticket.values():
             if run.is_started:
                 yield run.call.correlation
 
-    def without_body(self) -> list[Run]:
-        """Return the calls whose body has not arrived."""
-        return [run for run in self._by_ticket.values() if run.awaits_body]
+    def selected(
+        self, concerns: Callable[[Call], bool] | None = None
+    ) -> list[Run]:
+        """Return the runs of the calls that ``concerns`` selects, or all."""
+        return [
+            run
+            for run in self._by_ticket.values()
+            if concerns is None or concerns(run.call)
+        ]
 
     def mark_failed_below(self, correlation: str, *, is_refused: bool) -> None:
         """Mark a call whose downstream call to another service has failed.
--- a/bluebellsill/target_runner.py
+++ b/bluebellsill/target_runner.py
@@ -132,12 +132,7 @@
             self.refuse_queue(ErrorKind.LEAVING)
 
     def on_probed(self, response: Response, sent_at: float) -> None:
-        """Update the target's state from the response to a probe.
-
-        Args:
-            response: The response.
-            sent_at: When the probe was sent, in seconds.
-        """
+        """Update the target's state by a probe sent at ``sent_at`` (seconds)."""
         self.directives.observe_probe(response, sent_at)
         has_room = self._slowness_meter.observe(response)
         self._slowness_meter.end()
@@ -202,19 +197,21 @@
             run.exchange.cancel()
         self._release_slot(run.ticket)
 
-    def refuse_waiting(self, run: Run) -> None:
-        """Refuse a call whose time is over, unless it has started."""
+    def refuse_waiting(
+        self, run: Run, kind: ErrorKind = ErrorKind.EXPIRED
+    ) -> None:
+        """Refuse a call unless it has started."""
         if run.awaits_body:
-            self.refuse_without_body(run, ErrorKind.EXPIRED)
+            self.refuse_without_body(run, kind)
         elif self.gate.withdraw(run.ticket):
-            self._respond_refused(run.ticket, ErrorKind.EXPIRED)
+            self._respond_refused(run.ticket, kind)
 
-    def refuse_queue(self, kind: ErrorKind) -> None:
-        """Refuse every call that is queued or awaits its body."""
-        for ticket in self.gate.drop_queue():
-            self._respond_refused(ticket, kind)
-        for run in self.runs.without_body():
-            self.refuse_without_body(run, kind)
+    def refuse_queue(
+        self, kind: ErrorKind, concerns: Callable[[Call], bool] | None = None
+    ) -> None:
+        """Refuse the calls without a start that ``concerns`` selects, or all."""
+        for run in self.runs.selected(concerns):
+            self.refuse_waiting(run, kind)
 
     def on_body(self, run: Run, body: bytes) -> None:
         """Take the body of a call; start the call if it has a slot."""
@@ -268,7 +265,7 @@
             return ErrorKind.QUARANTINED
         if call.budget_ms <= 0:
             return ErrorKind.EXPIRED
-        kind = self._owner.refusal()
+        kind = self._owner.refusal(call)
         if kind is None and not self.breaker.allows_request(now):
             return ErrorKind.TARGET_FAILING
         return kind
@@ -282,7 +279,9 @@
     def _start_with_body(self, run: Run, body: bytes) -> None:
         if run not in self.runs:
             return
-        kind = _no_target_reason(run.call, self.watch) or self._owner.refusal()
+        kind = _no_target_reason(run.call, self.watch) or self._owner.refusal(
+            run.call
+        )
         if kind is not None:
             self.refuse_without_body(run, kind)
             return
--- a/tests/peer_world.py
+++ b/tests/peer_world.py
@@ -206,7 +206,7 @@
 
     # Called by the runner as its owner.
 
-    def refusal(self) -> ErrorKind | None:
+    def refusal(self, call: Call) -> ErrorKind | None:
         return self.refusal_kind
 
     def service_of(self, name: str) -> None:
--- a/tests/played.py
+++ b/tests/played.py
@@ -22,6 +22,8 @@
     'has_arrived': False,
     'is_inner': False,
     'is_repeat': False,
+    'key_tag': b'',
+    'key_version': 0,
     'may_wait': True,
     'queue_ms': 0,
     'retry_ms': 0,
--- a/tests/test_body_transfer.py
+++ b/tests/test_body_transfer.py
@@ -127,7 +127,7 @@
     world.call(_BODY, holds_bodies=True)
     world.advance(1)
     world.release_bodies()
-    started_at = [run.ticket.started_at for run in world.runner.runs.all()]
+    started_at = [run.ticket.started_at for run in world.runner.runs.selected()]
     assert started_at == [world.clock.now()]
 
 
