Add rate limiting by team over all nodes

Cause: a team's allowance holds for all entry nodes together, and none of them sees the requests of the others. Change: the first live node by rendezvous hash grants a team's tokens to the entry nodes; a step between the filters and the dispatch admits requests with them.

--- a/bluebellsill/caller_side.py
+++ b/bluebellsill/caller_side.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from bluebellsill.allowances import allowance_step
 from bluebellsill.balancing_policy import NearestFree
 from bluebellsill.errors import ErrorKind
 from bluebellsill.gateway import Gateway
@@ -90,6 +91,12 @@
             runner,
             metrics,
             avoids_queues=True,
+            entry_step=allowance_step(
+                peers,
+                lambda: state.plan.version if state.plan else 0,
+                random,
+                metrics,
+            ),
         )
         self.server = HttpServer(
             reactor,
--- a/bluebellsill/gateway.py
+++ b/bluebellsill/gateway.py
@@ -23,6 +23,7 @@
     from collections.abc import Callable
 
     from bluebellsill.caller_interface import CallerInterface
+    from bluebellsill.entry_step import EntryStep
     from bluebellsill.keyed_call import KeyHolderClient
     from bluebellsill.metrics import Metrics
     from bluebellsill.peers import PeerLinks
@@ -60,6 +61,7 @@
         key_holders: KeyHolderClient | None = None,
         *,
         avoids_queues: bool = False,
+        entry_step: EntryStep | None = None,
     ) -> None:
         """Create a gateway.
 
@@ -75,6 +77,8 @@
                 idempotency keys.
             avoids_queues: Whether a call looks for a target with a free slot
                 before it waits in the queue of one.
+            entry_step: Decides on the requests that the filters accept. None
+                to send all of them to targets.
         """
         self.in_flight = 0
         self.ends_at: float | None = None
@@ -86,6 +90,7 @@
         self._metrics = metrics
         self._key_holders = key_holders
         self._avoids_queues = avoids_queues
+        self._entry_step = entry_step
         self._open_calls_by_reply: dict[Reply, _OpenCall] = {}
         self._caller_retries = CallerRetryTracker()
         self._clock = links.reactor.timers.clock
@@ -110,10 +115,14 @@
             self._respond(inbound, reply, _stopping_problem(ErrorKind.LEAVING))
             return
         self._match_retry(inbound)
-        if inbound.key and self._key_holders is not None:
-            self._handle_keyed(inbound, reply, self._key_holders)
-        else:
-            self._handle_plain(inbound, reply)
+        if self._entry_step is None:
+            self._handle_accepted(inbound, reply)
+            return
+        reply.on_abandoned = lambda: self._on_abandoned(inbound, reply)
+        self._entry_step.admit(
+            inbound,
+            lambda problem: self._on_decided(inbound, reply, problem),
+        )
 
     def refuse(self, request: Request, reply: Reply, kind: ErrorKind) -> None:
         """Refuse a request without sending it to a target.
@@ -142,10 +151,25 @@
             one.call.cancel()
             self._respond(one.inbound, reply, problem)
 
+    def _on_decided(
+        self, inbound: InboundRequest, reply: Reply, problem: Problem | None
+    ) -> None:
+        reply.on_abandoned = None
+        if problem is None:
+            self._handle_accepted(inbound, reply)
+        else:
+            self._respond(inbound, reply, problem)
+
+    def _handle_accepted(self, inbound: InboundRequest, reply: Reply) -> None:
+        if inbound.key and self._key_holders is not None:
+            self._handle_keyed(inbound, reply, self._key_holders)
+        else:
+            self._handle_plain(inbound, reply)
+
     def _handle_plain(self, inbound: InboundRequest, reply: Reply) -> None:
         call = self._make_call(
             inbound,
-            lambda outcome: self._respond(inbound, reply, outcome),
+            lambda outcome: self._on_outcome(inbound, reply, outcome),
         )
         reply.on_abandoned = lambda: self._on_abandoned(inbound, reply, call)
         self._open_calls_by_reply[reply] = _OpenCall(inbound, call)
@@ -163,7 +187,7 @@
             inbound,
             key_holders,
             lambda on_done: self._make_call(inbound, on_done).start(),
-            lambda outcome: self._respond(inbound, reply, outcome),
+            lambda outcome: self._on_outcome(inbound, reply, outcome),
             inbound.received_at,
         ).start()
 
@@ -222,8 +246,25 @@
             on_done,
         )
 
+    def _on_outcome(
+        self,
+        inbound: InboundRequest,
+        reply: Reply,
+        outcome: Response | Problem,
+    ) -> None:
+        if (
+            self._entry_step is not None
+            and isinstance(outcome, Problem)
+            and outcome.response.run is RunStatus.NOT_RUN
+        ):
+            self._entry_step.on_not_run(inbound)
+        self._respond(inbound, reply, outcome)
+
     def _on_abandoned(
-        self, inbound: InboundRequest, reply: Reply, call: OutboundCall
+        self,
+        inbound: InboundRequest,
+        reply: Reply,
+        call: OutboundCall | None = None,
     ) -> None:
         self.in_flight -= 1
         self._open_calls_by_reply.pop(reply, None)
@@ -232,10 +273,13 @@
             'caller disconnected',
             correlation=inbound.correlation,
             service=inbound.service_name,
-            node=call.node_id,
+            node=call.node_id if call else '',
             after_ms=self._elapsed_ms(inbound),
         )
-        call.cancel()
+        if call is not None:
+            call.cancel()
+        elif self._entry_step is not None:
+            self._entry_step.on_abandoned(inbound)
         self._remember_unserved(inbound)
 
     def _respond(
--- a/bluebellsill/messages.py
+++ b/bluebellsill/messages.py
@@ -35,6 +35,8 @@
     'Revisions',
     'Settle',
     'TargetNote',
+    'TokenGrant',
+    'TokenRequest',
     'ZoneReport',
     'ZoneReportRequest',
     'decode',
@@ -328,6 +330,49 @@
     cleared: list[int]
 
 
+class TokenRequest(WireMessage, frozen=True, tag=17):
+    """Asks the grantor of a team for tokens, one for each request to run.
+
+    Attributes:
+        id: Identifies the request on its connection.
+        team: The name of the team.
+        wanted: The number of tokens.
+        rate: The team's requests a second over all nodes together.
+        burst: The team's requests beyond the rate.
+        document_version: The version of the document that declares them.
+        known: The number of nodes that the sender knows of.
+    """
+
+    id: int
+    team: str
+    wanted: int
+    rate: float
+    burst: float
+    document_version: int
+    known: int
+
+
+class TokenGrant(WireMessage, frozen=True, tag=18):
+    """Answers a request for tokens.
+
+    Attributes:
+        id: The id of the request.
+        granted: The number of tokens.
+        retry_ms: After how long to ask for the missing tokens. 0 if none are
+            missing, or if the sender is not the team's grantor.
+        known: The number of nodes that the sender knows of.
+    """
+
+    id: int
+    granted: int
+    retry_ms: int = 0
+    known: int = 0
+
+
+_Datagram = (
+    Ping | Ack | PingRequest | SyncRequest | Sync | Applied | Confirmation
+)
+
 Message = (
     Hello
     | Heartbeat
@@ -345,13 +390,9 @@
     | ZoneReportRequest
     | ZoneReport
     | CrashReport
-    | Ping
-    | Ack
-    | PingRequest
-    | SyncRequest
-    | Sync
-    | Applied
-    | Confirmation
+    | TokenRequest
+    | TokenGrant
+    | _Datagram
 )
 
 _encoder = msgpack.Encoder()
