Keep the allowances' bound through partitions and restarts

Change: half of a rate at most while many nodes are being lost or a grantor is new, a share that rises after 3 s only, no belief in members said to be gone that nobody suspected, a new grantor begins with one token.

--- a/bluebellsill/allowances/assembly.py
+++ b/bluebellsill/allowances/assembly.py
@@ -7,6 +7,7 @@
 from bluebellsill.allowances.grantor import Grantor
 from bluebellsill.allowances.grantor_service import GrantorService
 from bluebellsill.allowances.grantors import Grantors
+from bluebellsill.allowances.member_changes import MemberChanges
 from bluebellsill.allowances.population import Population
 from bluebellsill.allowances.step import AllowanceStep
 
@@ -67,12 +68,15 @@
         members.own.id, members.by_id.values, population, clock.now()
     )
 
-    def on_change(former: Member | None, record: Member) -> None:
-        now = clock.now()
+    def on_change(former: Member | None, record: Member, now: float) -> None:
         population.on_change(former, record, now)
         grantors.on_change(former, record, now)
 
-    for record in members.by_id.values():
-        on_change(None, record)
-    members.subscribe(on_change)
+    changes = MemberChanges(on_change)
+    grantors.before_lookup = changes.flush
+    for known in members.by_id.values():
+        on_change(None, known, clock.now())
+    members.subscribe(
+        lambda former, record: changes.on_change(former, record, clock.now())
+    )
     return population, grantors
--- a/bluebellsill/allowances/grantor.py
+++ b/bluebellsill/allowances/grantor.py
@@ -20,11 +20,15 @@
 __all__ = ('Grantor',)
 
 _MAX_TEAMS = 4096  # with a bucket; those not used for longest are dropped
-# Seconds in which a new grantor grants at a reduced pace: the former one may
-# still be granting, on the other side of a partition or to nodes that do not
-# know of the change yet.
+# Seconds in which a new grantor grants at most a share of the rate: the former
+# one may still be granting, on the other side of a partition or to nodes that
+# do not know of the change yet.
 _TAKEOVER_PERIOD = 1.5
-_TAKEOVER_PACE = 0.5
+_TAKEOVER_SHARE = 0.5
+# Seconds after which all nodes know the grantor, so that a team without a bucket
+# has not sent requests for long, and its bucket is full. Before, another node may
+# have granted a whole burst until now.
+_CERTAIN_AFTER = 30.0
 
 
 @dataclass(slots=True)
@@ -35,19 +39,20 @@
         bucket: The bucket.
         since: Since when this node is the grantor of the team.
         version: The version of the document that declares the allowance.
+        reduced_until: Until when at most a share of the rate is granted.
     """
 
     bucket: TokenBucket
     since: float
     version: int
+    reduced_until: float
 
 
 class Grantor:
     """Holds the token buckets of the teams whose grantor this node is.
 
-    A bucket is kept in memory only. A grantor begins with what would have
-    accrued since it became one, as its predecessor may have granted a whole
-    burst just before.
+    A bucket is kept in memory only. A new grantor begins with a single token,
+    as its predecessor may have granted a whole burst just before.
     """
 
     def __init__(
@@ -98,10 +103,9 @@
         if version > held.version:
             held.version = version
             held.bucket.allowance = allowance
-        is_new = now - held.since < _TAKEOVER_PERIOD
-        return held.bucket.take(
-            wanted, now, share=share, pace=_TAKEOVER_PACE if is_new else 1
-        )
+        if now < held.reduced_until:
+            share = min(share, _TAKEOVER_SHARE)
+        return held.bucket.take(wanted, now, share)
 
 
 def _new_bucket(
@@ -111,6 +115,8 @@
     share: float,
     now: float,
 ) -> _Held:
-    accrued = max(0, now - since - _TAKEOVER_PERIOD) * share * allowance.rate
-    tokens = min(capacity(allowance, share), accrued)
-    return _Held(TokenBucket(allowance, tokens, now), since, version)
+    if now - since >= _CERTAIN_AFTER:
+        bucket = TokenBucket(allowance, capacity(allowance, share), now)
+        return _Held(bucket, since, version, reduced_until=now)
+    bucket = TokenBucket(allowance, 1, now)
+    return _Held(bucket, since, version, reduced_until=now + _TAKEOVER_PERIOD)
--- a/bluebellsill/allowances/grantors.py
+++ b/bluebellsill/allowances/grantors.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from bluebellsill.allowances.population import is_candidate
+from bluebellsill.allowances.population import is_candidate, is_same_run
 from bluebellsill.rendezvous import rank, weight
 
 if TYPE_CHECKING:
@@ -22,7 +22,7 @@
 # Members that are kept of a ranking. When the first ones leave, the next ones
 # are known without a new ranking of all members.
 _MAX_RANKED = 8
-# Seconds after which a new member may be a grantor. It needs them to learn of
+# Seconds after which a new or restarted member may be a grantor. It needs them to learn of
 # the other members, and they hide the delay with which these learn of it.
 _JOIN_DELAY = 2.0
 
@@ -54,6 +54,10 @@
     A change of a member costs one hash for each team with a kept ranking. All
     members are ranked only for a team that has none, or once all members of
     a kept one have left.
+
+    Attributes:
+        before_lookup: Called with the time before each look-up, to pass on
+            changes of members that are due.
     """
 
     def __init__(
@@ -71,6 +75,7 @@
             population: Tells when this node knows enough members.
             now: The time in seconds.
         """
+        self.before_lookup: Callable[[float], None] | None = None
         self._own_id = own_id
         self._members = members
         self._population = population
@@ -91,14 +96,12 @@
         """Adapt the rankings to a changed or new record of a member."""
         self._admit_joined(now)
         was_candidate = is_candidate(former)
-        is_same_run = (
-            former is not None and former.incarnation == record.incarnation
-        )
-        if was_candidate and not (is_candidate(record) and is_same_run):
+        is_same = is_same_run(former, record)
+        if was_candidate and not (is_candidate(record) and is_same):
             self._remove(record.id, now)
-        if not is_candidate(record) or (was_candidate and is_same_run):
+        if not is_candidate(record) or (was_candidate and is_same):
             return
-        if is_same_run or not self._is_settled:
+        if is_same or not self._is_settled:
             self._insert(record.id, now)
         else:
             self._joins_at_by_id[record.id] = now + _JOIN_DELAY
@@ -115,6 +118,8 @@
         return [member_id for _, member_id in entries[:count]]
 
     def _ranking(self, team: str, now: float) -> _Ranking:
+        if self.before_lookup is not None:
+            self.before_lookup(now)
         self._admit_joined(now)
         ranking = self._rankings.get(team)
         if ranking is None:
--- a/bluebellsill/allowances/population.py
+++ b/bluebellsill/allowances/population.py
@@ -12,7 +12,7 @@
 
     from bluebellsill.gossip_messages import Member
 
-__all__ = ('Population', 'is_candidate')
+__all__ = ('Population', 'is_candidate', 'is_same_run')
 
 # Seconds after the start of a node in which it knows too few nodes to tell its
 # share of them, and seconds for which no further one must have appeared.
@@ -21,9 +21,19 @@
 # Seconds after which a higher share counts. When a partition heals, the shares
 # of both sides rise before all nodes agree on one grantor.
 _RISE_DELAY = 3.0
+# Both sides of a partition find the nodes of the other one within some seconds,
+# one after the other. While this goes on, none uses more than half of a rate. It
+# begins with two nodes, or with a twentieth of them, that are lost in the period.
+_LOSS_PERIOD = 3.0
+_MIN_LOST = 2
+_MIN_LOST_SHARE = 0.05
+_HALF = 0.5
 _PEER_COUNT_LIFETIME = 10.0  # seconds for which the count of a peer is used
 
 _LIVE = frozenset((MemberState.JOINING, MemberState.READY, MemberState.LEAVING))
+# A node that rejoins increases its incarnation by one, and a restarted one by
+# the milliseconds since its former start.
+_MAX_REJOINS = 1000
 _CANDIDATES = frozenset((MemberState.JOINING, MemberState.READY))
 
 
@@ -32,6 +42,14 @@
     return record is not None and record.state in _CANDIDATES
 
 
+def is_same_run(former: Member | None, record: Member) -> bool:
+    """Return whether a member has not been restarted."""
+    return (
+        former is not None
+        and record.incarnation - former.incarnation < _MAX_REJOINS
+    )
+
+
 class _Absence:
     """A node that is no candidate."""
 
@@ -60,6 +78,7 @@
         self._lost = 0
         self._absences: dict[str, _Absence] = {}
         self._share = SlidingMinimum(_RISE_DELAY)
+        self._lost_before = SlidingMinimum(_LOSS_PERIOD)
         self._peer_count = 0
         self._peer_count_at: float = 0
 
@@ -113,10 +132,14 @@
     def share(self, now: float) -> float:
         """Return the share of the known nodes that is live.
 
-        A higher share counts after some seconds only.
+        A higher share counts after some seconds only. While many nodes are
+        being lost, the share is at most a half.
         """
         self._update_share(now)
-        return self._share.minimum(now)
+        share = self._share.minimum(now)
+        recently_lost = self._lost - self._lost_before.minimum(now)
+        threshold = max(_MIN_LOST, _MIN_LOST_SHARE * self.known(now))
+        return min(share, _HALF) if recently_lost >= threshold else share
 
     def absences(self) -> Iterator[tuple[str, float]]:
         """Return the nodes that are no candidates, and since when."""
@@ -124,6 +147,7 @@
 
     def _update_share(self, now: float) -> None:
         self._share.update(self._live / self.known(now), now)
+        self._lost_before.update(self._lost, now)
 
     def _note_absence(
         self, former: Member | None, record: Member, now: float
--- a/bluebellsill/allowances/sliding_minimum.py
+++ b/bluebellsill/allowances/sliding_minimum.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from math import inf
 
 __all__ = ('SlidingMinimum',)
 
@@ -13,9 +14,9 @@
     """Follows a value down at once, and up only after a period."""
 
     def __init__(self, period: float) -> None:
-        """Create a minimum over ``period`` seconds of a value of 0."""
+        """Create a minimum over ``period`` seconds, without a value."""
         self._period = period
-        self._current: float = 0
+        self._current = inf
         # Former values and until when each was current. Both increase, as a
         # value that is followed by a smaller one has no effect any more.
         self._former: deque[tuple[float, float]] = deque()
--- a/bluebellsill/allowances/step.py
+++ b/bluebellsill/allowances/step.py
@@ -36,7 +36,6 @@
 # Seconds that a request waits for a token request that follows at once, or that
 # a node waits for the grantor's answer.
 _MAX_WAIT = 0.1
-_MIN_ASK_INTERVAL = 0.1  # seconds; ten token requests a second for one team
 _CANDIDATES = 2  # nodes that are asked for the tokens of one request
 # Seconds after which to come again while no grantor answers.
 _CUT_OFF_DELAY = 0.25
@@ -112,7 +111,7 @@
         if queue.ledger.denied_until > now or len(queue.waiting) >= MAX_WAITING:
             self._refuse(one, max(0, queue.ledger.denied_until - now), 'denied')
             return
-        if queue.is_cut_off and not self._may_ask(queue, now):
+        if queue.is_cut_off and not queue.may_ask(now):
             self._decide_alone(one, queue)
             return
         queue.waiting.append(one)
@@ -160,9 +159,6 @@
             queue.stop_timer()
             del self._queues[team]
 
-    def _may_ask(self, queue: TeamQueue, now: float) -> bool:
-        return now - queue.asked_at >= _MIN_ASK_INTERVAL
-
     def _ask_if_needed(self, team: str, queue: TeamQueue) -> None:
         """Send a token request, now or once the interval has passed."""
         now = self._timers.clock.now()
@@ -170,13 +166,12 @@
             return
         if not queue.ledger.wanted(len(queue.waiting), now):
             return
-        if self._may_ask(queue, now):
-            queue.tries = 0
-            queue.asked_at = now
+        if queue.may_ask(now):
+            queue.on_ask()
             self._ask(team, queue)
         elif queue.waiting and queue.timer is None:
             queue.timer = self._timers.after(
-                queue.asked_at + _MIN_ASK_INTERVAL - now,
+                queue.seconds_to_ask(now),
                 lambda: self._on_interval_passed(team, queue),
             )
 
--- a/bluebellsill/allowances/team_queue.py
+++ b/bluebellsill/allowances/team_queue.py
@@ -4,7 +4,6 @@
 
 from collections import deque
 from dataclasses import dataclass, field
-from math import inf
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -18,6 +17,11 @@
 __all__ = ('MAX_WAITING', 'TeamQueue', 'WaitingRequest')
 
 MAX_WAITING = 1000  # requests of one team; more are refused
+_ASK_RATE = 10.0  # token requests a second for one team
+# Token requests that may follow each other at once. A node with little traffic
+# asks for each request, and some of them arrive together.
+_MAX_ASKS = 5.0
+_TOLERANCE = 1e-6  # token requests; below rounding errors of the clock
 
 
 class WaitingRequest:
@@ -43,11 +47,10 @@
         ledger: The tokens.
         waiting: The requests without a token, in order of arrival.
         request_id: The token request without an answer, 0 if there is none.
-        asked_at: When the last token request was sent.
         grantor: The node that was last found to be the team's grantor.
         skips_first: Whether the second-ranked node is asked before the first
             one, because that one did not answer.
-        tries: The nodes that were asked since ``asked_at``.
+        tries: The nodes that were asked since the wait began.
         is_cut_off: Whether no grantor has answered the last token request.
         timer: Ends the wait for the answer, or sends the next token request.
     """
@@ -55,18 +58,35 @@
     ledger: TokenLedger
     waiting: deque[WaitingRequest] = field(default_factory=deque)
     request_id: int = 0
-    asked_at: float = -inf
     grantor: str = ''
     skips_first: bool = False
     tries: int = 0
     is_cut_off: bool = False
     timer: Timer | None = None
+    _asks: float = _MAX_ASKS
+    _asks_at: float = 0
 
     @property
     def is_idle(self) -> bool:
         """Whether the queue has nothing to wait for."""
         return not self.waiting and not self.request_id
 
+    def may_ask(self, now: float) -> bool:
+        """Return whether a token request may be sent."""
+        return self.seconds_to_ask(now) <= 0
+
+    def seconds_to_ask(self, now: float) -> float:
+        """Return the time until a token request may be sent."""
+        added = _ASK_RATE * (now - self._asks_at)
+        self._asks = min(_MAX_ASKS, self._asks + added)
+        self._asks_at = now
+        return max(0, 1 - _TOLERANCE - self._asks) / _ASK_RATE
+
+    def on_ask(self) -> None:
+        """Count a token request, which begins a wait."""
+        self._asks -= 1
+        self.tries = 0
+
     def stop_timer(self) -> None:
         """Cancel the timer if there is one."""
         if self.timer is not None:
--- a/bluebellsill/allowances/token_bucket.py
+++ b/bluebellsill/allowances/token_bucket.py
@@ -40,7 +40,7 @@
 
     Args:
         allowance: The allowance of the team over all nodes.
-        share: The share of the nodes that the bucket serves.
+        share: The share of the rate that is granted from it.
     """
     extra = _EXTRA_TOKENS + _EXTRA_PERIOD * allowance.rate
     return max(1, share * (allowance.burst + extra))
@@ -56,23 +56,20 @@
         self._updated_at = now
         self._scheduled_until: float = 0
 
-    def take(
-        self, wanted: int, now: float, *, share: float, pace: float = 1
-    ) -> Grant:
+    def take(self, wanted: int, now: float, share: float) -> Grant:
         """Grant tokens to a node.
 
         Args:
             wanted: The number of tokens that it asks for.
             now: The time in seconds.
-            share: The share of the nodes that the bucket serves.
-            pace: The factor of the rate since the last call.
+            share: The share of the rate that may be granted.
         """
         rate = share * self.allowance.rate
         elapsed = max(0, now - self._updated_at)
         self._updated_at = now
         self._tokens = min(
             capacity(self.allowance, share),
-            self._tokens + elapsed * rate * pace,
+            self._tokens + elapsed * rate,
         )
         granted = min(wanted, int(self._tokens + _TOLERANCE))
         self._tokens -= granted
