Halve the rate for longer after a change of the grantor

Change: half of the rate for 3 s, and also for the former grantor around the time at which a new one takes its place.

--- a/bluebellsill/allowances/grantor.py
+++ b/bluebellsill/allowances/grantor.py
@@ -23,7 +23,7 @@
 # Seconds in which a new grantor grants at most a share of the rate: the former
 # one may still be granting, on the other side of a partition or to nodes that
 # do not know of the change yet.
-_TAKEOVER_PERIOD = 1.5
+_TAKEOVER_PERIOD = 3.0
 _TAKEOVER_SHARE = 0.5
 # Seconds after which all nodes know the grantor, so that a team without a bucket
 # has not sent requests for long, and its bucket is full. Before, another node may
@@ -103,7 +103,7 @@
         if version > held.version:
             held.version = version
             held.bucket.allowance = allowance
-        if now < held.reduced_until:
+        if now < held.reduced_until or tenure.is_contested:
             share = min(share, _TAKEOVER_SHARE)
         return held.bucket.take(wanted, now, share)
 
--- a/bluebellsill/allowances/grantors.py
+++ b/bluebellsill/allowances/grantors.py
@@ -5,6 +5,7 @@
 from bisect import insort
 from collections import OrderedDict
 from dataclasses import dataclass
+from math import inf
 from typing import TYPE_CHECKING
 
 from bluebellsill.allowances.population import is_candidate, is_same_run
@@ -25,6 +26,7 @@
 # Seconds after which a new or restarted member may be a grantor. It needs them to learn of
 # the other members, and they hide the delay with which these learn of it.
 _JOIN_DELAY = 2.0
+_CONTEST_MARGIN = 1.0  # seconds by which the nodes' views of that may differ
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,10 +36,13 @@
     Attributes:
         grantor: Its id, empty if there is no candidate.
         since: Since when it has been the grantor, at the latest.
+        is_contested: Whether a new member is about to take its place, so that
+            some nodes may already ask that one.
     """
 
     grantor: str
     since: float
+    is_contested: bool = False
 
 
 @dataclass(slots=True)
@@ -46,6 +51,7 @@
 
     entries: list[tuple[int, str]]
     since: float
+    contested_at: float = -inf
 
 
 class Grantors:
@@ -104,13 +110,14 @@
         if is_same or not self._is_settled:
             self._insert(record.id, now)
         else:
-            self._joins_at_by_id[record.id] = now + _JOIN_DELAY
+            self._delay_join(record.id, now + _JOIN_DELAY)
 
     def tenure(self, team: str, now: float) -> Tenure:
         """Return the grantor of a team."""
         ranking = self._ranking(team, now)
         first = ranking.entries[0][1] if ranking.entries else ''
-        return Tenure(first, ranking.since)
+        distance = abs(now - ranking.contested_at)
+        return Tenure(first, ranking.since, distance < _CONTEST_MARGIN)
 
     def ranked(self, team: str, count: int, now: float) -> list[str]:
         """Return the grantor of a team and those that would follow it."""
@@ -171,6 +178,13 @@
             del self._joins_at_by_id[member_id]
             self._insert(member_id, joins_at)
 
+    def _delay_join(self, member_id: str, joins_at: float) -> None:
+        self._joins_at_by_id[member_id] = joins_at
+        for team, ranking in self._rankings.items():
+            entry = (weight(team, member_id), member_id)
+            if ranking.entries and entry > ranking.entries[0]:
+                ranking.contested_at = joins_at
+
     def _insert(self, member_id: str, now: float) -> None:
         if member_id == self._own_id:
             if not self._is_settled:
--- a/bluebellsill/allowances/population.py
+++ b/bluebellsill/allowances/population.py
@@ -23,10 +23,10 @@
 _RISE_DELAY = 3.0
 # Both sides of a partition find the nodes of the other one within some seconds,
 # one after the other. While this goes on, none uses more than half of a rate. It
-# begins with two nodes, or with a twentieth of them, that are lost in the period.
+# begins with two nodes, or with 3 in 100 of them, that are lost in the period.
 _LOSS_PERIOD = 3.0
 _MIN_LOST = 2
-_MIN_LOST_SHARE = 0.05
+_MIN_LOST_SHARE = 0.03
 _HALF = 0.5
 _PEER_COUNT_LIFETIME = 10.0  # seconds for which the count of a peer is used
 
