Test the allowances over many fake peers

Cause: bound and used share depend on membership, delays and demand together. Change: fake peers with the real failure detector, 10, 70 and 300 of them, with uneven and shifting demand, loss, partitions, restarts and a lowered limit.

--- a/tests/allowance_world.py
+++ b/tests/allowance_world.py
@@ -20,6 +20,7 @@
 from bluebellsill.clock import ManualClock
 from bluebellsill.filters import InboundRequest
 from bluebellsill.http import Request
+from bluebellsill.membership import MemberState
 from bluebellsill.metrics import Metrics
 from bluebellsill.peers import LinkLost
 from bluebellsill.resources import EXTERNAL_CALLER
@@ -163,8 +164,7 @@
             for record in records:
                 swim.members.merge(record, self.clock.now())
             # The records that everyone has need no dissemination.
-            for _ in range(size):
-                swim._dissemination.take('')
+            swim._dissemination._sent_by_id.clear()
         self.peers_by_id = {one: FakePeer(self, one) for one in swims}
         self.ids = list(self.peers_by_id)
         self.spread_demand()
@@ -196,6 +196,22 @@
         self.weights = [self.random.paretovariate(1.2) for _ in self.ids]
         self._cumulated = list(accumulate(self.weights))
 
+    def concentrate_demand(self, node_id: str) -> None:
+        """Send all demand to one node."""
+        self.weights = [float(one == node_id) for one in self.ids]
+        self._cumulated = list(accumulate(self.weights))
+
+    def declare(self, allowance: Allowance, version: int) -> None:
+        """Change the team's allowance at all nodes."""
+        self.team = Team(self.team.name, allowance=allowance)
+        self.document_version = version
+
+    def leave(self, node_id: str) -> None:
+        """Let a node announce that it leaves; it goes on serving clients."""
+        swim = self.cluster.swims_by_id[node_id]
+        swim.members.update_own(state=MemberState.LEAVING)
+        self.cluster.post(node_id, swim.push())
+
     def after_delay(self, callback: Callable[[], None]) -> None:
         """Call back after the delay of a message."""
         delay = self.random.uniform(_MIN_DELAY, _MAX_DELAY)
