--- a/bluebellsill/allowances/grantor.py
+++ b/bluebellsill/allowances/grantor.py
@@ -28,7 +28,7 @@
 # Seconds after which all nodes know the grantor, so that a team without a bucket
 # has not sent requests for long, and its bucket is full. Before, another node may
 # have granted a whole burst until now.
-_CERTAIN_AFTER = 30.0
+_CERTAIN_AFTER = 10.0
 
 
 @dataclass(slots=True)
