--- a/bluebellsill/allowances/token_ledger.py
+++ b/bluebellsill/allowances/token_ledger.py
@@ -18,7 +18,7 @@
 _REFILL_SHARE = 0.5  # of the tokens to hold, below which more are asked for
 _DEMAND_PERIOD = 0.5  # seconds over which the demand is averaged
 # The share of the rate that all nodes together use without a grantor.
-_OWN_SHARE = 0.5
+_OWN_SHARE = 0.3
 _MAX_WANTED = 10000  # tokens
 
 
