--- a/bluebellsill/messages.py
+++ b/bluebellsill/messages.py
@@ -38,6 +38,8 @@
     'Revisions',
     'Settle',
     'TargetNote',
+    'TokenGrant',
+    'TokenRequest',
     'ZoneReport',
     'ZoneReportRequest',
     'decode',
@@ -406,6 +408,52 @@
 
 
 _BodyMessage = BodyRequest | BodyPiece | BodyProgress
+
+
+class TokenRequest(WireMessage, frozen=True, tag=20):
+    """Asks the grantor of a team for tokens, one for each request to run.
+
+    Attributes:
+        id: Identifies the request on its connection.
+        team: The name of the team.
+        wanted: The number of tokens.
+        rate: The team's requests a second over all nodes together.
+        burst: The team's requests beyond the rate.
+        document_version: The version of the document that declares them.
+        known: The number of nodes that the sender knows of.
+    """
+
+    id: int
+    team: str
+    wanted: int
+    rate: float
+    burst: float
+    document_version: int
+    known: int
+
+
+class TokenGrant(WireMessage, frozen=True, tag=21):
+    """Answers a request for tokens.
+
+    Attributes:
+        id: The id of the request.
+        granted: The number of tokens.
+        retry_ms: After how long to ask for the missing tokens. 0 if none are
+            missing, or if the sender is not the team's grantor.
+        known: The number of nodes that the sender knows of.
+    """
+
+    id: int
+    granted: int
+    retry_ms: int = 0
+    known: int = 0
+
+
+_TokenMessage = TokenRequest | TokenGrant
+_Datagram = (
+    Ping | Ack | PingRequest | SyncRequest | Sync | Applied | Confirmation
+)
+
 Message = (
     Hello
     | Heartbeat
@@ -424,13 +472,8 @@
     | ZoneReport
     | CrashReport
     | _BodyMessage
-    | Ping
-    | Ack
-    | PingRequest
-    | SyncRequest
-    | Sync
-    | Applied
-    | Confirmation
+    | _TokenMessage
+    | _Datagram
 )
 
 _encoder = msgpack.Encoder()
