Tell the nodes the version of each target

Cause: a canary release chooses between versions of a service's targets, but the version that a target reports was dropped at its node. Change: Announcement and Member carry target_version, with an empty default that nodes of earlier builds leave out. The stand-in target states a version of its settings and can fail by path; the stand-in store renews leases, does not give a lease id out twice, and shows the contents of its keys. Result: every node knows the version of every ready target; routing is unchanged.

--- a/bluebellsill/announcement.py
+++ b/bluebellsill/announcement.py
@@ -26,6 +26,8 @@
         name: The name by which requests address the target, empty if they do
             not name it.
         is_provisional: Whether this comes from a probe, before any report.
+        target_version: The version of the target's program, empty if not
+            stated.
     """
 
     service: str
@@ -36,6 +38,7 @@
     cold_seconds: float | None = None
     name: str = ''
     is_provisional: bool = False
+    target_version: str = ''
 
 
 def provisional_start_id(name: str) -> str:
--- a/bluebellsill/gossip_messages.py
+++ b/bluebellsill/gossip_messages.py
@@ -33,6 +33,7 @@
         service: The service of the node's target, or empty.
         slots: The target's concurrency limit in requests, 0 if unknown.
         is_store_lost: Whether the node cannot read the platform's store.
+        target_version: The version of the target's program, empty if unknown.
     """
 
     id: str
@@ -43,6 +44,7 @@
     service: str
     slots: int = 0
     is_store_lost: bool = False
+    target_version: str = ''
 
 
 class Ping(WireMessage, frozen=True, tag=32):
--- a/bluebellsill/membership.py
+++ b/bluebellsill/membership.py
@@ -69,6 +69,7 @@
         service: str | None = None,
         slots: int | None = None,
         is_store_lost: bool | None = None,
+        target_version: str | None = None,
     ) -> Member:
         """Update the record of this node; None leaves a field unchanged.
 
@@ -80,6 +81,7 @@
             'service': service,
             'slots': slots,
             'is_store_lost': is_store_lost,
+            'target_version': target_version,
         }
         own = replace(
             self.own,
@@ -227,6 +229,7 @@
         record,
         zone=intern(record.zone),
         service=intern(record.service),
+        target_version=intern(record.target_version),
     )
 
 
--- a/bluebellsill/platform/endpoints.py
+++ b/bluebellsill/platform/endpoints.py
@@ -227,5 +227,6 @@
             slots=report.info.slots,
             cold_seconds=report.status.cold_left_ms / _MS_PER_SECOND,
             name=name,
+            target_version=report.info.version,
         ),
     )
--- a/bluebellsill/standins/kv_store.py
+++ b/bluebellsill/standins/kv_store.py
@@ -132,6 +132,8 @@
         self.reactor = Reactor(self._timers).register(self)
         self._items: dict[str, _Item] = {}
         self._lease_expiries: dict[int, float] = {}
+        self._lifetimes_by_lease: dict[int, float] = {}
+        self._last_lease = 0
         self._events: deque[_Event] = deque(maxlen=_MAX_EVENTS)
         self._compacted_revision = 0
         self._revision = 1
@@ -185,7 +187,14 @@
         elif path == _COPY_PATH:
             self._change_copy(request, reply)
         else:
-            stats = {'calls': dict(self._calls), 'keys': sorted(self._items)}
+            stats = {
+                'calls': dict(self._calls),
+                'keys': sorted(self._items),
+                'contents': {
+                    key: item.payload.decode(errors='replace')
+                    for key, item in self._items.items()
+                },
+            }
             reply.send(json_response(HTTPStatus.OK, stats))
 
     def _change_behaviour(self, request: Request, reply: Reply) -> None:
@@ -339,18 +348,20 @@
         return json_response(HTTPStatus.OK, {'revision': self._revision})
 
     def _grant_lease(self, document: dict[str, Any], reply: Reply) -> None:
-        lease = len(self._lease_expiries) + 1
+        self._last_lease += 1
+        lease = self._last_lease
         lifetime = int(document['ttl_ms']) / _MS_PER_SECOND
+        self._lifetimes_by_lease[lease] = lifetime
         self._lease_expiries[lease] = self._timers.clock.now() + lifetime
         answer = {'lease': lease, 'ttl_ms': document['ttl_ms']}
         self._send(reply, json_response(HTTPStatus.OK, answer))
 
     def _renew_lease(self, lease: int, reply: Reply) -> None:
-        status = (
-            HTTPStatus.OK
-            if lease in self._lease_expiries
-            else (HTTPStatus.NOT_FOUND)
-        )
+        status = HTTPStatus.NOT_FOUND
+        if lease in self._lease_expiries:
+            status = HTTPStatus.OK
+            lifetime = self._lifetimes_by_lease[lease]
+            self._lease_expiries[lease] = self._timers.clock.now() + lifetime
         self._send(reply, json_response(status, {'ttl_ms': 0}))
 
     def _expire_leases(self) -> None:
--- a/bluebellsill/standins/mesh_target.py
+++ b/bluebellsill/standins/mesh_target.py
@@ -74,6 +74,7 @@
         advertised: The address in reports, empty for the listener's.
         linger: How long the target still serves requests after it announced
             that it is draining, in seconds.
+        version: The version that its reports state.
     """
 
     service: str
@@ -84,6 +85,7 @@
     ledger: str = ''
     advertised: str = ''
     linger: float = 1.0
+    version: str = 'v1'
 
 
 class MeshBehaviour(Struct, frozen=True, forbid_unknown_fields=True):
@@ -93,6 +95,8 @@
         slowness: The ratio of current to usual processing time.
         cold_seconds: How long the target reports to stay cold.
         fails: Whether every request gets status 500, but probes succeed.
+        failing_path: The path prefix of the requests that get status 500,
+            empty for none.
         is_silent: Whether no reports are sent.
         rate_limit: The requests a second that responses state as the limit,
             None for no limit; requests beyond it are answered as well.
@@ -109,6 +113,7 @@
     slowness: float = 1
     cold_seconds: float = 0
     fails: bool = False
+    failing_path: str = ''
     is_silent: bool = False
     rate_limit: float | None = None
     states_leaving: bool = False
@@ -191,7 +196,12 @@
         settings = self._settings
         report = Report(
             settings.advertised or str(self.address),
-            Info(settings.service, 'v1', settings.zone, settings.slots),
+            Info(
+                settings.service,
+                settings.version,
+                settings.zone,
+                settings.slots,
+            ),
             Status(
                 'draining' if self._is_leaving else 'ready',
                 self._sequence,
@@ -350,7 +360,9 @@
     def _work(self, job: _Job) -> None:
         seconds = float(job.options.get('work', 0)) / _MS_PER_SECOND
         status = HTTPStatus.OK
-        if self._behaviour.fails:
+        failing_path = self._behaviour.failing_path
+        is_failing = failing_path and job.request.path.startswith(failing_path)
+        if self._behaviour.fails or is_failing:
             status = HTTPStatus.INTERNAL_SERVER_ERROR
         finish: Callable[[], None] = lambda: self._finish(job, status)
         seconds *= self._behaviour.slowness
--- a/demo/mesh_harness.py
+++ b/demo/mesh_harness.py
@@ -50,6 +50,7 @@
     ports: dict[str, str]
     settings: Path
     command: list[str] = field(default_factory=list)
+    version: str = 'v1'
     node: Process | None = None
     target: Process | None = None
 
@@ -113,7 +114,14 @@
         self.store = Process(command, folder / 'store.log')
         self.store.read_listening()
 
-    def add(self, zone: str, service: str, *, is_first: bool = True) -> Vm:
+    def add(
+        self,
+        zone: str,
+        service: str,
+        *,
+        is_first: bool = True,
+        version: str = 'v1',
+    ) -> Vm:
         """Start the node and the target of a new VM."""
         index = len(self.vms) + 1
         ports = _free_addresses(index)
@@ -123,6 +131,7 @@
             service,
             ports,
             self.folder / f'vm-{index}.toml',
+            version=version,
         )
         self._write_settings(vm, is_first=is_first)
         self.vms.append(vm)
@@ -155,6 +164,7 @@
                 'ledger': str(self.ledger),
                 'advertised': self._address(vm, 'target'),
                 'linger': self.linger,
+                'version': vm.version,
             },
         )
         command = [
@@ -216,10 +226,15 @@
         """Make the store drop its history and end its watches."""
         fetch(self.store.listening, 'DELETE', '/_history')
 
+    def store_keys(self) -> dict[str, str]:
+        """Return the contents of the store by key."""
+        reply = fetch(self.store.listening, 'GET', '/_stats')
+        found: dict[str, str] = json.loads(reply.body)['contents']
+        return found
+
     def delete_node_entries(self) -> None:
         """Delete the entries of all nodes from the store."""
-        stats = json.loads(fetch(self.store.listening, 'GET', '/_stats').body)
-        for key in stats['keys']:
+        for key in self.store_keys():
             if key.startswith(NODE_PREFIX):
                 self.operate('DELETE', key)
 
