Replicate the operators' orders of canary releases

Cause: an order is a key under op/, which the readers watch, but they dropped it. Change: the operator feed and state carry the encoded orders with the position at which each was written; nodes of earlier builds leave the field out. An order that a restored store lacks stays in force until it is written again or removed. Result: all nodes know the orders without a further call of the store.

--- a/bluebellsill/mesh_node.py
+++ b/bluebellsill/mesh_node.py
@@ -130,7 +130,9 @@
             state=state,
             service=self._settings.target.service,
             slots=announcement.slots if announcement else None,
-            target_version=announcement.target_version if announcement else None,
+            target_version=announcement.target_version
+            if announcement
+            else None,
         )
         self._peers.gossip_task.push()
 
--- a/bluebellsill/operator_feed.py
+++ b/bluebellsill/operator_feed.py
@@ -19,6 +19,7 @@
     'FeedUpdate',
     'FeedSnapshot',
     'OperatorFeed',
+    'OrderWritten',
     'PendingWatch',
     'ZoneWritten',
 )
@@ -32,11 +33,13 @@
         position: The state of the store that was read.
         document: The encoded routing document, empty if there is none.
         zones_out: The availability zones that are out of service.
+        orders: The canary releases that are ordered.
     """
 
     position: StorePosition
     document: bytes
     zones_out: frozenset[str]
+    orders: tuple[OrderWritten, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,7 +59,22 @@
     is_out: bool
 
 
-FeedChange = DocumentWritten | ZoneWritten
+@dataclass(frozen=True, slots=True)
+class OrderWritten:
+    """The order of a canary release was written or removed.
+
+    Attributes:
+        revision: The revision of the change.
+        service: The service whose targets get a new version.
+        payload: The encoded order, empty if it was removed.
+    """
+
+    revision: int
+    service: str
+    payload: bytes
+
+
+FeedChange = DocumentWritten | ZoneWritten | OrderWritten
 
 
 @dataclass(frozen=True, slots=True)
--- a/bluebellsill/operator_state.py
+++ b/bluebellsill/operator_state.py
@@ -14,7 +14,9 @@
     DocumentWritten,
     FeedSnapshot,
     FeedUpdate,
+    OrderWritten,
 )
+from bluebellsill.order_set import NO_ORDERS, OrderSet, WrittenOrder
 from bluebellsill.replica_version import ReplicaVersion, StorePosition
 from bluebellsill.zone_exclusions import NO_EXCLUSIONS, ZoneExclusions
 
@@ -23,6 +25,7 @@
 
     from result import Result
 
+    from bluebellsill.operator_feed import FeedChange
     from bluebellsill.resources import Service
     from bluebellsill.routing_plan import RoutingPlan
 
@@ -43,6 +46,8 @@
         zones_unconfirmed: The zones out of service that the present epoch
             does not confirm.
         zones_returned: The zones returned to service in the present epoch.
+        orders: The orders of canary releases; None from a node that does not
+            know them.
     """
 
     revision: int
@@ -52,6 +57,7 @@
     document_version: int = 0
     zones_unconfirmed: tuple[str, ...] = ()
     zones_returned: tuple[str, ...] = ()
+    orders: tuple[WrittenOrder, ...] | None = None
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -66,11 +72,14 @@
         position: The newest state of the store that this reflects.
         document: The encoded routing document in force, empty without one.
         zones: The zones that are out of service.
+        orders: The orders of canary releases; None in a received state that
+            says nothing of them.
     """
 
     position: StorePosition = StorePosition(0, 0)
     document: bytes = b''
     zones: ZoneExclusions = NO_EXCLUSIONS
+    orders: OrderSet | None = NO_ORDERS
 
 
 class OperatorState:
@@ -118,6 +127,11 @@
         """The zones out of service that the restored store does not have."""
         return self._state.zones.unconfirmed
 
+    @property
+    def orders(self) -> OrderSet:
+        """The orders of canary releases."""
+        return self._state.orders or NO_ORDERS
+
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Register a listener that is called after each change."""
         self._listeners.append(listener)
@@ -130,7 +144,8 @@
             source: The origin of the snapshot, for the log.
         """
         zones = ZoneExclusions(out=snapshot.zones_out)
-        received = _State(snapshot.position, snapshot.document, zones)
+        orders = OrderSet.of(snapshot.orders, snapshot.position.epoch)
+        received = _State(snapshot.position, snapshot.document, zones, orders)
         self._follow(received, source)
 
     def apply_update(self, update: FeedUpdate, source: str) -> None:
@@ -141,32 +156,22 @@
                 ordered by revision.
             source: The origin of the changes, for the log.
         """
-        state = self._state
-        document = b''
+        state = replace(self._state, document=b'')
         epoch = update.position.epoch
-        zones = state.zones
-        position = state.position
         for change in update.changes:
             changed_at = StorePosition(epoch, change.revision)
-            if changed_at <= position:
+            if changed_at <= state.position:
                 self._log.info(
                     'change ignored',
                     epoch=epoch,
                     revision=change.revision,
-                    in_force=position.revision,
+                    in_force=state.position.revision,
                     source=source,
                 )
                 continue
-            position = changed_at
-            if isinstance(change, DocumentWritten):
-                document = change.document
-            elif change.is_out:
-                zones = zones.take_out(change.zone)
-            else:
-                zones = zones.bring_back(change.zone)
-        if position > state.position:
-            plan = self._plan_of(document)
-            self._replace(_State(position, document, zones), plan, source)
+            state = _changed(state, change, changed_at)
+        if state.position > self._state.position:
+            self._replace(state, self._plan_of(state.document), source)
 
     def drop_unconfirmed_zones(self, epoch: int) -> None:
         """Stop to exclude zones that the restored store does not have.
@@ -198,6 +203,7 @@
             self.version.document,
             tuple(sorted(zones.unconfirmed)),
             tuple(sorted(zones.returned)),
+            self.orders.written,
         )
         return _encoder.encode(exported), []
 
@@ -222,7 +228,9 @@
             frozenset(exported.zones_returned),
         )
         position = StorePosition(exported.epoch, exported.revision)
-        self._follow(_State(position, exported.document, zones), peer)
+        orders = None if exported.orders is None else OrderSet(exported.orders)
+        received = _State(position, exported.document, zones, orders)
+        self._follow(received, peer)
         if self.version.document < exported.document_version:
             self._rejected_version = exported.document_version
 
@@ -249,13 +257,15 @@
             zones = state.zones.follow(
                 received.zones, is_same_epoch=is_same_epoch
             )
-            self._replace(replace(received, zones=zones), plan, source)
+            orders = self.orders.follow(received.orders, received.position)
+            newer = replace(received, zones=zones, orders=orders)
+            self._replace(newer, plan, source)
         elif plan is not None and plan.version > in_force:
             # Another node got this document before the store was restored.
             zones = state.zones
             if is_same_epoch:
                 zones = zones.add_unconfirmed(received.zones.unconfirmed)
-            newer = _State(state.position, received.document, zones)
+            newer = replace(state, document=received.document, zones=zones)
             self._replace(newer, plan, source)
         else:
             self._log.info(
@@ -285,6 +295,7 @@
             zones_out=sorted(state.zones.all_out),
             zones_unconfirmed=sorted(state.zones.unconfirmed),
             document_bytes=len(state.document),
+            orders=[one.service for one in self.orders.written],
             source=source,
         )
         for listener in self._listeners:
@@ -307,3 +318,18 @@
             )
             return None
         return plan
+
+
+def _changed(
+    state: _State, change: FeedChange, position: StorePosition
+) -> _State:
+    """Return a state after a change that led to a position of the store."""
+    state = replace(state, position=position)
+    if isinstance(change, DocumentWritten):
+        return replace(state, document=change.document)
+    if isinstance(change, OrderWritten):
+        orders = state.orders or NO_ORDERS
+        return replace(state, orders=orders.apply(change, position.epoch))
+    if change.is_out:
+        return replace(state, zones=state.zones.take_out(change.zone))
+    return replace(state, zones=state.zones.bring_back(change.zone))
--- a/bluebellsill/platform/operator_keys.py
+++ b/bluebellsill/platform/operator_keys.py
@@ -14,6 +14,7 @@
     FeedFailure,
     FeedSnapshot,
     FeedUpdate,
+    OrderWritten,
     ZoneWritten,
 )
 from bluebellsill.replica_version import StorePosition
@@ -31,11 +32,12 @@
         KvStore,
     )
 
-__all__ = ('DOCUMENT_KEY', 'ZONE_PREFIX', 'OperatorKeys')
+__all__ = ('DOCUMENT_KEY', 'ORDER_PREFIX', 'ZONE_PREFIX', 'OperatorKeys')
 
 _PREFIX = 'op/'
 DOCUMENT_KEY = 'op/config'
 ZONE_PREFIX = 'op/evacuate/'
+ORDER_PREFIX = 'op/rollout/'
 
 
 class OperatorKeys:
@@ -115,12 +117,16 @@
 def _snapshot(items: list[Item], position: StorePosition) -> FeedSnapshot:
     document = b''
     zones: set[str] = set()
+    orders: list[OrderWritten] = []
     for item in items:
         if item.key == DOCUMENT_KEY:
             document = item.value
         elif item.key.startswith(ZONE_PREFIX):
             zones.add(item.key.removeprefix(ZONE_PREFIX))
-    return FeedSnapshot(position, document, frozenset(zones))
+        elif item.key.startswith(ORDER_PREFIX):
+            service = item.key.removeprefix(ORDER_PREFIX)
+            orders.append(OrderWritten(item.revision, service, item.value))
+    return FeedSnapshot(position, document, frozenset(zones), tuple(orders))
 
 
 def _feed_update(
@@ -138,6 +144,10 @@
     if event.key.startswith(ZONE_PREFIX):
         zone = event.key.removeprefix(ZONE_PREFIX)
         return ZoneWritten(event.revision, zone, is_out=not event.deleted)
+    if event.key.startswith(ORDER_PREFIX):
+        service = event.key.removeprefix(ORDER_PREFIX)
+        payload = b'' if event.value is UNSET else event.value
+        return OrderWritten(event.revision, service, payload)
     if event.key == DOCUMENT_KEY and event.value is not UNSET:
         return DocumentWritten(event.revision, event.value)
     return None
--- a/bluebellsill/standins/kv_store.py
+++ b/bluebellsill/standins/kv_store.py
@@ -358,10 +358,13 @@
 
     def _renew_lease(self, lease: int, reply: Reply) -> None:
         status = HTTPStatus.NOT_FOUND
-        if lease in self._lease_expiries:
+        expires_at = self._lease_expiries.get(lease)
+        if expires_at is not None:
             status = HTTPStatus.OK
-            lifetime = self._lifetimes_by_lease[lease]
-            self._lease_expiries[lease] = self._timers.clock.now() + lifetime
+            renewed_until = (
+                self._timers.clock.now() + self._lifetimes_by_lease[lease]
+            )
+            self._lease_expiries[lease] = max(expires_at, renewed_until)
         self._send(reply, json_response(status, {'ttl_ms': 0}))
 
     def _expire_leases(self) -> None:
