Release a version of a service's targets in steps

Cause: an operator orders a version, and a bad one must not reach many requests. Change: package rollouts/ with the decision, the share at entry nodes, the lease and the evidence; its keys in platform/rollout_keys.py; messages CanaryShare and CanaryReport; entry nodes choose a target by version while there is an order.

--- a/bluebellsill/caller_side.py
+++ b/bluebellsill/caller_side.py
@@ -28,6 +28,7 @@
     from bluebellsill.peer_stack import PeerStack
     from bluebellsill.quarantine import Quarantine
     from bluebellsill.reactor import Reactor
+    from bluebellsill.router_registry import VersionRules
     from bluebellsill.target_runner import TargetRunner
 
 __all__ = ('CallerSide',)
@@ -54,6 +55,7 @@
         metrics: Metrics,
         runner: TargetRunner,
         random: Random,
+        versions: VersionRules,
     ) -> None:
         """Bind the listener for callers.
 
@@ -81,6 +83,7 @@
             state,
             lambda: NearestFree(random, members.own.zone),
             self._retry_budget,
+            versions,
         )
         self.gateway = Gateway(
             members.own.id,
--- a/bluebellsill/filters.py
+++ b/bluebellsill/filters.py
@@ -18,6 +18,7 @@
     from bluebellsill.configuration import Configuration
     from bluebellsill.http import Request
     from bluebellsill.quarantine import Quarantine
+    from bluebellsill.router_registry import VersionTraffic
     from bluebellsill.teams import Team
 
 __all__ = (
@@ -64,6 +65,8 @@
         tenant: The tenant that the call is counted for.
         team: The team whose key the request carries, None without one.
         granted_by: The nodes that granted the claim of the idempotency key.
+        traffic: Counts the outcomes by version of the targets, None without a
+            canary release.
     """
 
     request: Request
@@ -80,6 +83,7 @@
     tenant: str = ''
     team: Team | None = None
     granted_by: list[str] = field(default_factory=list)
+    traffic: VersionTraffic | None = None
 
     def __post_init__(self) -> None:
         """Treat the request as a first attempt."""
--- a/bluebellsill/gateway.py
+++ b/bluebellsill/gateway.py
@@ -202,6 +202,7 @@
         on_done: Callable[[Response | Problem], None],
     ) -> OutboundCall:
         routing = self._router_registry.of_service(inbound.service_name)
+        inbound.traffic = routing.traffic
         dispatch = Dispatch(
             routing.router,
             routing.budget,
--- a/bluebellsill/mesh_node.py
+++ b/bluebellsill/mesh_node.py
@@ -22,7 +22,7 @@
 from bluebellsill.logs import bind_logs, flush_logs, get_logger
 from bluebellsill.lost_exclusions import LostExclusions
 from bluebellsill.membership import MemberState
-from bluebellsill.messages import CrashReport
+from bluebellsill.messages import CanaryReport, CanaryShare, CrashReport
 from bluebellsill.metrics import Metrics
 from bluebellsill.operator_state import OperatorState
 from bluebellsill.peer_stack import PeerStack
@@ -33,12 +33,14 @@
 from bluebellsill.platform.kv_store import KvStore
 from bluebellsill.platform.node_keys import LEASE_SECONDS, NodeKeys
 from bluebellsill.platform.operator_keys import OperatorKeys
+from bluebellsill.platform.rollout_keys import RolloutKeys, decode_order
 from bluebellsill.platform.routing_document import decode_plan
 from bluebellsill.quarantine import Quarantine
 from bluebellsill.reactor import Reactor
 from bluebellsill.readiness import Readiness
 from bluebellsill.reading_order import ReadingOrder
 from bluebellsill.resources import Service
+from bluebellsill.rollouts import CanaryReleases
 from bluebellsill.streams import Address
 from bluebellsill.target_side import TargetSide
 from bluebellsill.timers import TimerService
@@ -54,6 +56,7 @@
 _LOG_FLUSH_PERIOD = 0.1  # seconds between attempts to write log lines left over
 _STATE_LOG_PERIOD = 5.0  # seconds between log lines with the gauges
 _MS_PER_SECOND = 1000
+_CANARY_PERIOD = 0.25  # seconds between steps of canary releases
 _RANDOM_SEED_BYTES = 8  # bytes read from the operating system
 
 
@@ -88,6 +91,7 @@
         self._metrics = Metrics()
         self._quarantine = Quarantine()
         self._build_peers()
+        self._build_releases()
         self._build_interfaces()
         self._build_gauges()
         self._store_epoch = 0  # at the last change of the operator state
@@ -194,6 +198,20 @@
         )
         self._peers.server.on(CrashReport, self._crashes.on_report)
 
+    def _build_releases(self) -> None:
+        self._releases = CanaryReleases(
+            self._peers.members,
+            self._peers.links,
+            self._state,
+            RolloutKeys(self._store),
+            decode_order,
+            self._clock,
+            self._metrics.counts,
+        )
+        server = self._peers.server
+        server.on(CanaryShare, lambda _, news: self._releases.on_share(news))
+        server.on(CanaryReport, lambda _, got: self._releases.on_report(got))
+
     def _build_feed_reader(self) -> FeedReader:
         members = self._peers.members
         order = ReadingOrder(members, self._random)
@@ -240,6 +258,7 @@
             self._metrics,
             self._runner,
             self._random,
+            self._releases,
         )
         self._ready_server = HttpServer(
             self._reactor,
@@ -266,6 +285,8 @@
             target_connections=lambda: self._runner.watch.opened_connections,
             revision=lambda: self._state.position.revision,
             epoch=lambda: self._state.position.epoch,
+            canaries=lambda: self._releases.running,
+            canaries_acted_on=lambda: self._releases.acting,
             view_age_ms=lambda: round(self._view.seconds * _MS_PER_SECOND),
             log_lines_dropped=flush_logs,
         )
@@ -287,6 +308,7 @@
         )
         self._timers.every(_LOG_FLUSH_PERIOD, _flush)
         self._timers.every(_STATE_LOG_PERIOD, self._log_state)
+        self._timers.every(_CANARY_PERIOD, self._releases.tick)
         is_first = self._settings.node.is_first_start
         self._discovery.start(immediate=not is_first)
         self._feed_reader.start(immediate=not is_first)
--- a/bluebellsill/messages.py
+++ b/bluebellsill/messages.py
@@ -21,6 +21,8 @@
     'Answer',
     'Call',
     'Cancel',
+    'CanaryReport',
+    'CanaryShare',
     'Claim',
     'ClaimReply',
     'CrashReport',
@@ -30,6 +32,7 @@
     'Hello',
     'Message',
     'MessageError',
+    'OutcomeRow',
     'Refusal',
     'RevisionRequest',
     'Revisions',
@@ -328,6 +331,75 @@
     cleared: list[int]
 
 
+class OutcomeRow(WireMessage, frozen=True):
+    """Outcomes of requests of one route at one version of the targets.
+
+    Attributes:
+        route: The route.
+        is_canary: Whether the version is the one that is being released.
+        failed: The number of failed requests.
+        buckets: The latencies of the others: numbers of buckets with counts.
+    """
+
+    route: str
+    is_canary: bool
+    failed: int
+    buckets: list[tuple[int, int]]
+
+
+class CanaryShare(WireMessage, frozen=True, tag=24):
+    """Tells an entry node how much traffic a new version gets.
+
+    Attributes:
+        service: The service.
+        target_version: The new version of its targets.
+        order_epoch: The epoch in which the order was written.
+        order_revision: The revision at which the order was written.
+        epoch: The epoch of the sender's lease; with the next field the
+            fencing token.
+        revision: The revision of the key with the sender's lease.
+        sender_id: The acting node, which gets the reports.
+        stage: The value of a ``CanaryStage``.
+        share: The share of the requests for the new version, 0 to 1.
+        width: How many of its targets get them.
+        base_versions: The versions that ran before the order.
+        is_recorded: Whether the store has the outcome of the release.
+    """
+
+    service: str
+    target_version: str
+    order_epoch: int
+    order_revision: int
+    epoch: int
+    revision: int
+    sender_id: str
+    stage: str
+    share: float
+    width: int
+    base_versions: list[str]
+    is_recorded: bool = False
+
+
+class CanaryReport(WireMessage, frozen=True, tag=25):
+    """Reports the outcomes at an entry node to the acting node.
+
+    Attributes:
+        service: The service.
+        target_version: The new version of its targets.
+        requests: The requests for the service since the last report.
+        canary_requests: How many of them were sent to the new version.
+        rows: The outcomes since the last report.
+    """
+
+    service: str
+    target_version: str
+    requests: int
+    canary_requests: int
+    rows: list[OutcomeRow]
+
+
+_Canary = CanaryShare | CanaryReport
+
 Message = (
     Hello
     | Heartbeat
@@ -345,6 +417,7 @@
     | ZoneReportRequest
     | ZoneReport
     | CrashReport
+    | _Canary
     | Ping
     | Ack
     | PingRequest
--- a/bluebellsill/outbound_call.py
+++ b/bluebellsill/outbound_call.py
@@ -77,6 +77,7 @@
         self._timers: list[Timer] = []
         self._local_run: Run | None = None
         self._request_id = 0
+        self._sent_at: float = 0
         self._is_hedge = is_hedge
         self._hedge: OutboundCall | None = None
         self._held_outcome: Response | Problem | None = None
@@ -106,6 +107,7 @@
         call = self._make_call(decision)
         self._request_id = call.id
         self.node_id = decision.node_id
+        self._sent_at = self._links.now()
         after = self._links.reactor.timers.after
         self._timers = [
             after(decision.timeout + _REPLY_MARGIN, self._on_timeout)
@@ -182,6 +184,7 @@
                 ),
             )
         elif isinstance(reply, Failure):
+            self._count_outcome(has_failed=True)
             message = f'target of {self.node_id} sent no complete response'
             self._apply(
                 self.dispatch.on_failure(
@@ -200,6 +203,10 @@
             self._apply(self.dispatch.on_refusal(ErrorKind.NO_TARGET, 1, 1))
 
     def _on_answer(self, answer: Answer) -> None:
+        if not answer.has_failed_below:
+            self._count_outcome(
+                has_failed=answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+            )
         retry = self.dispatch.on_answer(
             answer.status,
             answer.in_flight,
@@ -214,6 +221,16 @@
             return
         self._finish(Response(answer.status, answer.headers, answer.body))
 
+    def _count_outcome(self, *, has_failed: bool) -> None:
+        """Count an outcome for the version of the target that was called."""
+        traffic = self._inbound.traffic
+        if traffic is not None:
+            seconds = self._links.now() - self._sent_at
+            route = self._inbound.route.name
+            traffic.on_outcome(
+                self.node_id, route, seconds, has_failed=has_failed
+            )
+
     def _on_hang(self) -> None:
         """Call another target as well; the first one may just be slow."""
         hedge = self.dispatch.hedge()
@@ -245,6 +262,7 @@
         if _is_served(outcome):
             if self._request_id:
                 self.dispatch.on_outpaced()
+                self._count_outcome(has_failed=False)
                 self._end_attempt(is_cancelled=True)
             self._finish(outcome)
         elif isinstance(self._held_outcome, Problem):
@@ -258,6 +276,7 @@
             self._hedge = None
 
     def _on_timeout(self) -> None:
+        self._count_outcome(has_failed=True)
         self._end_attempt(is_cancelled=self._inbound.is_idempotent)
         message = f'no reply from {self.node_id} within the time budget'
         self._apply(self.dispatch.on_failure(ErrorKind.TIMED_OUT, message))
--- a/bluebellsill/platform/kv_store.py
+++ b/bluebellsill/platform/kv_store.py
@@ -29,11 +29,13 @@
     from bluebellsill.streams import Address
 
 __all__ = (
+    'ExpectedRevision',
     'Item',
     'ItemEvent',
     'ItemPage',
     'ItemWatch',
     'KEEP_PREFIX',
+    'KeyValue',
     'LEASE_PATH',
     'RANGE_PATH',
     'TXN_PATH',
@@ -274,6 +276,14 @@
             [ExpectedRevision(write.key, write.expected_revision)],
             [KeyValue(write.key, payload, write.lease)],
         )
+        self.transact(txn, on_done)
+
+    def transact(
+        self,
+        txn: Txn,
+        on_done: Callable[[Result[int, KvFailure]], None],
+    ) -> None:
+        """Write several keys at once; the result is the new revision."""
         self._call(
             'POST',
             TXN_PATH,
--- /dev/null
+++ b/bluebellsill/rollouts/evidence.py
@@ -0,0 +1,288 @@
+"""Outcomes of requests by route and version, and what they prove."""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from dataclasses import dataclass, field
+from math import inf, log
+from typing import TYPE_CHECKING
+
+from bluebellsill.messages import OutcomeRow
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+__all__ = ('Evidence', 'Finding', 'Outcomes', 'latency_bucket')
+
+_BUCKET_RATIO = 1.1  # of the latencies of two neighbouring buckets
+_MAX_BUCKET = 160  # above an hour; rejects corrupt reports
+_MIN_MS = 1.0
+_MS_PER_SECOND = 1000
+_MAX_ROUTES = 64  # with outcomes of their own; further routes share one
+_OTHER_ROUTES = 'other'
+_ALL_ROUTES = ''
+# A response is slow if it takes more than twice the old version's median on
+# its route: 1.1 ** 8 = 2.1.
+_SLOW_BUCKETS = 8
+_MIN_BASE_ANSWERS = 10  # of the old version, for a median
+# The old version's share of bad responses is taken to be this much higher, so
+# that small differences, which do no harm, are no evidence.
+_BASE_FACTOR = 1.5
+_BASE_MARGIN = 0.005
+_MAX_EXPECTED = 0.99
+_UNKNOWN_BASE_SHARE = 0.02  # if the old version has no responses on a route
+_MIN_BAD = 5  # responses
+# Seconds with bad responses among the latest. A target that is killed fails
+# its requests within one second, and neighbours of a target slow it for 0.2 s;
+# neither says anything of its version.
+_MIN_FAILED_SECONDS = 2
+_MIN_SLOW_SECONDS = 3
+_MANY_BAD = 30  # bad responses that are evidence also within one second
+_RECENT_SECONDS = 10
+
+
+def latency_bucket(seconds: float) -> int:
+    """Return the number of the bucket for a latency."""
+    ms = max(_MIN_MS, seconds * _MS_PER_SECOND)
+    return min(_MAX_BUCKET, int(log(ms) / log(_BUCKET_RATIO)))
+
+
+@dataclass(slots=True)
+class _Tally:
+    """The outcomes of requests of one route at one version."""
+
+    failed: int = 0
+    by_bucket: Counter[int] = field(default_factory=Counter)
+
+    @property
+    def total(self) -> int:
+        return self.failed + self.by_bucket.total()
+
+    def slow(self, limit: int | None) -> int:
+        """Return the number of latencies above a bucket."""
+        if limit is None:
+            return 0
+        return sum(
+            count for bucket, count in self.by_bucket.items() if bucket > limit
+        )
+
+    def median(self) -> int | None:
+        """Return the bucket of the median latency, None if unknown."""
+        total = self.by_bucket.total()
+        if total < _MIN_BASE_ANSWERS:
+            return None
+        left = total / 2
+        for bucket in sorted(self.by_bucket):
+            left -= self.by_bucket[bucket]
+            if left <= 0:
+                return bucket
+        return None
+
+
+class Outcomes:
+    """Counts outcomes by route and version."""
+
+    def __init__(self) -> None:
+        """Create empty counts."""
+        self._tallies: dict[tuple[str, bool], _Tally] = {}
+
+    def record(
+        self, route: str, seconds: float, *, is_canary: bool, has_failed: bool
+    ) -> None:
+        """Count one response of the new version or the old one."""
+        tally = self.tally(route, is_canary=is_canary)
+        if has_failed:
+            tally.failed += 1
+        else:
+            tally.by_bucket[latency_bucket(seconds)] += 1
+
+    def add(self, rows: Iterable[OutcomeRow]) -> None:
+        """Add counts that ``rows`` returned; invalid ones are left out."""
+        for row in rows:
+            tally = self.tally(row.route, is_canary=row.is_canary)
+            tally.failed += max(0, row.failed)
+            for bucket, count in row.buckets:
+                if 0 <= bucket <= _MAX_BUCKET and count > 0:
+                    tally.by_bucket[bucket] += count
+
+    def rows(self) -> list[OutcomeRow]:
+        """Return all counts."""
+        return [
+            OutcomeRow(
+                route, is_canary, tally.failed, sorted(tally.by_bucket.items())
+            )
+            for (route, is_canary), tally in self._tallies.items()
+            if tally.total
+        ]
+
+    def tally(self, route: str, *, is_canary: bool) -> _Tally:
+        """Return the counts of a route at a version."""
+        key = (route, is_canary)
+        if key not in self._tallies and len(self._tallies) >= 2 * _MAX_ROUTES:
+            key = (_OTHER_ROUTES, is_canary)
+        return self._tallies.setdefault(key, _Tally())
+
+    def routes(self) -> list[str]:
+        """Return the routes that have counts."""
+        return sorted({route for route, _ in self._tallies})
+
+    def total(self, *, is_canary: bool) -> int:
+        """Return the number of responses of a version."""
+        return sum(
+            tally.total
+            for (_, is_of_canary), tally in self._tallies.items()
+            if is_of_canary == is_canary
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Finding:
+    """A difference between the versions.
+
+    Attributes:
+        route: The route, empty for all together.
+        symptom: ``failed``, ``slow`` or ``bad`` for both.
+        bad: The bad responses of the new version.
+        total: All its responses.
+        base_bad: The bad responses of the old version.
+        base_total: All its responses.
+        score: The negative logarithm of a bound on the probability that the
+            old version has so many bad responses.
+    """
+
+    route: str
+    symptom: str
+    bad: int
+    total: int
+    base_bad: int
+    base_total: int
+    score: float
+
+
+class Evidence:
+    """Compares the new version with the old one, by route.
+
+    The comparison uses all responses since the order, and apart from them the
+    latest: a version may turn bad, and trouble of the old one may have passed.
+    """
+
+    def __init__(self) -> None:
+        """Create an object without evidence."""
+        self.all = Outcomes()
+        self._by_second: deque[tuple[int, Outcomes]] = deque()
+
+    def add(self, rows: list[OutcomeRow], now: float) -> None:
+        """Add the outcomes of a report."""
+        self.all.add(rows)
+        second = int(now)
+        if not self._by_second or self._by_second[-1][0] != second:
+            self._by_second.append((second, Outcomes()))
+        self._by_second[-1][1].add(rows)
+        while self._by_second[0][0] < second - _RECENT_SECONDS:
+            self._by_second.popleft()
+
+    def worst(self) -> Finding | None:
+        """Return the strongest evidence against the new version."""
+        recent = Outcomes()
+        for _, outcomes in self._by_second:
+            recent.add(outcomes.rows())
+        limits = self._limits()
+        findings = [
+            *self._findings(self.all, limits),
+            *self._findings(recent, limits),
+        ]
+        return max(findings, key=lambda one: one.score, default=None)
+
+    def _limits(self) -> dict[str, int | None]:
+        """Return for each route the highest bucket that is not slow."""
+        limits: dict[str, int | None] = {}
+        for route in self.all.routes():
+            median = self.all.tally(route, is_canary=False).median()
+            limits[route] = None if median is None else median + _SLOW_BUCKETS
+        return limits
+
+    def _findings(
+        self, outcomes: Outcomes, limits: dict[str, int | None]
+    ) -> Iterator[Finding]:
+        sums: Counter[tuple[str, bool]] = Counter()
+        for route in outcomes.routes():
+            counts = _counts(outcomes, route, limits.get(route))
+            sums.update(counts)
+            yield from self._compare(route, counts, limits)
+        yield from self._compare(_ALL_ROUTES, sums, limits)
+
+    def _compare(
+        self,
+        route: str,
+        counts: Counter[tuple[str, bool]],
+        limits: dict[str, int | None],
+    ) -> Iterator[Finding]:
+        for symptom in ('failed', 'slow', 'bad'):
+            finding = _finding(route, symptom, counts)
+            if finding.bad < _MIN_BAD:
+                continue
+            seconds = self._bad_seconds(route, symptom, limits)
+            is_failed = symptom == 'failed'
+            needed = _MIN_FAILED_SECONDS if is_failed else _MIN_SLOW_SECONDS
+            if seconds >= needed or finding.bad >= _MANY_BAD:
+                yield finding
+
+    def _bad_seconds(
+        self, route: str, symptom: str, limits: dict[str, int | None]
+    ) -> int:
+        """Return in how many of the latest seconds there was the symptom."""
+        found = 0
+        for _, outcomes in self._by_second:
+            routes = outcomes.routes() if route == _ALL_ROUTES else [route]
+            found += any(
+                _counts(outcomes, one, limits.get(one))[symptom, True]
+                for one in routes
+            )
+        return found
+
+
+def _counts(
+    outcomes: Outcomes, route: str, limit: int | None
+) -> Counter[tuple[str, bool]]:
+    """Return the responses of a route by symptom and version."""
+    counts: Counter[tuple[str, bool]] = Counter()
+    for is_canary in (False, True):
+        tally = outcomes.tally(route, is_canary=is_canary)
+        slow = tally.slow(limit)
+        counts['failed', is_canary] = tally.failed
+        counts['slow', is_canary] = slow
+        counts['bad', is_canary] = tally.failed + slow
+        counts['total', is_canary] = tally.total
+    return counts
+
+
+def _finding(
+    route: str, symptom: str, counts: Counter[tuple[str, bool]]
+) -> Finding:
+    bad, total = counts[symptom, True], counts['total', True]
+    base_bad, base_total = counts[symptom, False], counts['total', False]
+    base_share = _UNKNOWN_BASE_SHARE
+    if base_total:
+        base_share = (base_bad + 0.5) / (base_total + 1)
+    expected = min(_MAX_EXPECTED, _BASE_FACTOR * base_share + _BASE_MARGIN)
+    score = _score(bad, total, expected)
+    return Finding(route, symptom, bad, total, base_bad, base_total, score)
+
+
+def _score(bad: int, total: int, expected: float) -> float:
+    """Return Chernoff's bound on a share of bad responses, as a logarithm.
+
+    With a share of ``expected`` the probability of so many bad responses is
+    at most exp(-score).
+    """
+    if not total:
+        return 0
+    share = bad / total
+    if share <= expected:
+        return 0
+    if share >= 1:
+        return total * -log(expected) if expected else inf
+    return total * (
+        share * log(share / expected)
+        + (1 - share) * log((1 - share) / (1 - expected))
+    )
--- a/bluebellsill/router_registry.py
+++ b/bluebellsill/router_registry.py
@@ -6,17 +6,23 @@
 from typing import TYPE_CHECKING, Protocol
 
 from bluebellsill.membership import MemberState
-from bluebellsill.routing import Router
+from bluebellsill.routing import Router, VersionChoice
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
     from bluebellsill.balancing_policy import BalancingPolicy
     from bluebellsill.gossip_messages import Member
     from bluebellsill.membership import Members
     from bluebellsill.retries import RetryBudget
 
-__all__ = ('OperatorExclusions', 'RouterRegistry', 'ServiceRouting')
+__all__ = (
+    'OperatorExclusions',
+    'RouterRegistry',
+    'ServiceRouting',
+    'VersionRules',
+    'VersionTraffic',
+)
 
 # Services whose routing state is kept; they come and go with the versions of the
 # configuration.
@@ -36,14 +42,43 @@
         """Return whether a target is out of service."""
 
 
+class VersionTraffic(VersionChoice, Protocol):
+    """What a canary release changes for the calls of one service."""
+
+    def split(
+        self, members: Collection[Member]
+    ) -> tuple[list[Member], list[Member]]:
+        """Return the targets for most calls, and those of the new version."""
+
+    def on_outcome(
+        self, node_id: str, route: str, seconds: float, *, has_failed: bool
+    ) -> None:
+        """Count the outcome of a call that a target has run."""
+
+
+class VersionRules(Protocol):
+    """The canary releases that are ordered."""
+
+    def subscribe(self, listener: Callable[[str], None]) -> None:
+        """Call ``listener`` with a service whose rules have changed."""
+
+    def of_service(self, service: str) -> VersionTraffic | None:
+        """Return the rules of a service, None if versions do not matter."""
+
+
 class ServiceRouting:
-    """The router and the retry budget of one service."""
+    """The router and the retry budget of one service.
+
+    Attributes:
+        traffic: The versions in use, None if they do not matter.
+    """
 
     def __init__(self, router: Router, budget: RetryBudget) -> None:
         """Create routing state whose targets have not been set yet."""
         self.router = router
         self.budget = budget
         self.is_current = False
+        self.traffic: VersionTraffic | None = None
 
 
 class RouterRegistry:
@@ -55,6 +90,7 @@
         exclusions: OperatorExclusions,
         make_policy: Callable[[], BalancingPolicy],
         make_budget: Callable[[], RetryBudget],
+        versions: VersionRules | None = None,
     ) -> None:
         """Create a placement without services.
 
@@ -63,6 +99,7 @@
             exclusions: What operators took out of service.
             make_policy: Creates the load-balancing policy of a service.
             make_budget: Creates the retry budget of a service.
+            versions: The canary releases; None without them.
         """
         self._members = members
         self._exclusions = exclusions
@@ -71,6 +108,9 @@
         self._routing_by_service: OrderedDict[str, ServiceRouting] = (
             OrderedDict()
         )
+        self._versions = versions
+        if versions is not None:
+            versions.subscribe(self._on_versions_changed)
         members.subscribe(self._on_member_changed)
         exclusions.subscribe(self._on_exclusions_changed)
 
@@ -87,10 +127,26 @@
         else:
             self._routing_by_service.move_to_end(service)
         if not routing.is_current:
-            routing.router.update(self._available_targets(service))
-            routing.is_current = True
+            self._update(service, routing)
         return routing
 
+    def _update(self, service: str, routing: ServiceRouting) -> None:
+        targets = self._available_targets(service)
+        versions = self._versions
+        traffic = None if versions is None else versions.of_service(service)
+        routing.traffic = traffic
+        if traffic is None:
+            routing.router.update(targets)
+        else:
+            targets, canaries = traffic.split(targets)
+            routing.router.update(targets, canaries, traffic)
+        routing.is_current = True
+
+    def _on_versions_changed(self, service: str) -> None:
+        routing = self._routing_by_service.get(service)
+        if routing is not None:
+            routing.is_current = False
+
     def _available_targets(self, service: str) -> list[Member]:
         return [
             member
--- a/bluebellsill/routing.py
+++ b/bluebellsill/routing.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from bluebellsill.outlier_detection import OutlierDetector
 from bluebellsill.rendezvous import rank
@@ -15,12 +15,19 @@
     from bluebellsill.balancing_policy import BalancingPolicy
     from bluebellsill.gossip_messages import Member
 
-__all__ = ('Router',)
+__all__ = ('Router', 'VersionChoice')
 
 SUBSET_SIZE = 16  # targets of one service that an entry node calls
 _LOCAL_SUBSET_SIZE = 8  # at most so many of them are in the own zone
 
 
+class VersionChoice(Protocol):
+    """Divides the calls for a service between two versions of its targets."""
+
+    def takes_canary(self, now: float, *, has_canary: bool) -> bool:
+        """Return whether a new call goes to the version being released."""
+
+
 class Router:
     """Chooses among a subset of the targets of one service.
 
@@ -49,17 +56,29 @@
         self._own_id = own_id
         self._own_zone = own_zone
         self._policy = policy
-
-    def update(self, members: Collection[Member]) -> None:
+        self._canary_ids: frozenset[str] = frozenset()
+        self._choice: VersionChoice | None = None
+
+    def update(
+        self,
+        members: Collection[Member],
+        canaries: Collection[Member] = (),
+        choice: VersionChoice | None = None,
+    ) -> None:
         """Select the subset of targets to use.
 
         Args:
             members: The ready targets in availability zones in service.
+            canaries: Targets besides them, of a version being released.
+            choice: Selects the calls for these; None if versions do not matter.
         """
         local = [one for one in members if one.zone == self._own_zone]
         remote = [one for one in members if one.zone != self._own_zone]
         chosen = self._subset(local, _LOCAL_SUBSET_SIZE)
         chosen += self._subset(remote, SUBSET_SIZE - len(chosen))
+        chosen += canaries
+        self._canary_ids = frozenset(one.id for one in canaries)
+        self._choice = choice
         previous = self.views_by_id
         self.views_by_id = {
             one.id: previous.get(one.id)
@@ -80,6 +99,8 @@
         views = [
             view for view in self.views_by_id.values() if view.id not in tried
         ]
+        if self._choice is not None:
+            views = self._of_version(views, self._choice, tried, now)
         preferred = [view for view in views if view.avoided_until <= now]
         candidates = preferred or views
         candidates = (
@@ -89,6 +110,23 @@
             return None
         return self._policy.pick(candidates, now)
 
+    def _of_version(
+        self,
+        views: list[TargetView],
+        choice: VersionChoice,
+        tried: Collection[str],
+        now: float,
+    ) -> list[TargetView]:
+        """Return the targets of the version that a call goes to.
+
+        A call that another target has not answered goes to the version in
+        force: a retry must not fail for the new one.
+        """
+        canary = [view for view in views if view.id in self._canary_ids]
+        if not tried and choice.takes_canary(now, has_canary=bool(canary)):
+            return canary
+        return [view for view in views if view.id not in self._canary_ids]
+
     def _subset(self, members: list[Member], count: int) -> list[Member]:
         if len(members) <= count:
             return members
