--- a/bluebellsill/rollouts/decision.py
+++ b/bluebellsill/rollouts/decision.py
@@ -43,6 +43,7 @@
 _MIN_ROUTE_ANSWERS = 10
 _USED_ROUTE_ANSWERS = 50  # of the old version
 _MAX_WAIT_SHARE = 0.4
+_MIN_COMPLETION = 5.5  # seconds for the switch and the write of the outcome
 _MIN_CAPACITY = 0.5  # of the old targets' slots, for the switch
 
 
@@ -187,7 +188,8 @@
         reserved = max(_RESERVED_SHARE * duration, _MIN_RESERVED)
         reserved = min(reserved, duration / 2)
         if self._thin_routes():
-            reserved *= 1 - _MAX_WAIT_SHARE
+            waited = (1 - _MAX_WAIT_SHARE) * reserved
+            reserved = max(waited, min(reserved, _MIN_COMPLETION))
         if left > reserved:
             self._set_share(now, fleet)
             return
--- a/bluebellsill/rollouts/releases.py
+++ b/bluebellsill/rollouts/releases.py
@@ -318,10 +318,11 @@
         heard_at = release.traffic.heard_at
         silent_since = release.seen_at if heard_at is None else heard_at
         first = _FIRST_PATIENCE if heard_at is None else _PATIENCE
+        silence = now - silent_since
+        if silence < first:
+            return
         turn = self._turn(release.order.service)
-        is_due = turn is not None and (
-            now - silent_since >= first + _PATIENCE_STEP * turn
-        )
+        is_due = turn is not None and silence >= first + _PATIENCE_STEP * turn
         if heard_at is None and not release.has_read:
             if is_due or now - release.seen_at >= _READ_AFTER:
                 self._read(release, now)
