Tell slow versions from slowed targets

Cause: in trials with targets that are slowed five times for 0.2 s at a time, 5 of 20 releases of a good version at 600 requests a second and 7 of 20 with two new targets were rolled back: the slow responses come in bursts, which the test took for independent ones. Change: slow responses count over 3, 6, 10 s and all time, with a difference that bursts do not reach; failures count over 10 s and all time. The score for a roll-back is higher.

--- a/bluebellsill/rollouts/decision.py
+++ b/bluebellsill/rollouts/decision.py
@@ -23,8 +23,8 @@
 _EXPOSURE_SLACK = 30
 _REPORT_DELAY = 1.5  # seconds from a request to its count at the acting node
 _RATE_WINDOW = 3.0  # seconds over which the rate of requests is averaged
-_CLEAR_SCORE = 7.0  # a probability of 0.001 with the old version
-_DOUBT_SCORE = 4.0  # of 0.02; too much to switch to the new version
+_CLEAR_SCORE = 9.0  # a probability of 0.0001 with the old version
+_DOUBT_SCORE = 5.0  # of 0.007; too much to switch to the new version
 _MIN_GOOD_ANSWERS = 20  # of the new version, before the second step
 _FIRST_SHARE = 0.05
 _MIN_SECOND_SHARE = 0.1
@@ -311,6 +311,7 @@
     return {
         'route': finding.route,
         'symptom': finding.symptom,
+        'window_s': finding.window,
         'bad': finding.bad,
         'total': finding.total,
         'base_bad': finding.base_bad,
--- a/bluebellsill/rollouts/evidence.py
+++ b/bluebellsill/rollouts/evidence.py
@@ -28,16 +28,19 @@
 # The old version's share of bad responses is taken to be this much higher, so
 # that small differences, which do no harm, are no evidence.
 _BASE_FACTOR = 1.5
-_BASE_MARGIN = 0.005
-_MAX_EXPECTED = 0.99
 _UNKNOWN_BASE_SHARE = 0.02  # if the old version has no responses on a route
+_MAX_EXPECTED = 0.99
 _MIN_BAD = 5  # responses
-# Seconds with bad responses among the latest. A target that is killed fails
-# its requests within one second, and neighbours of a target slow it for 0.2 s;
-# neither says anything of its version.
+# Seconds with failures among the latest. A target that is killed fails its
+# requests within one second, which says nothing of its version.
 _MIN_FAILED_SECONDS = 2
-_MIN_SLOW_SECONDS = 3
-_MANY_BAD = 30  # bad responses that are evidence also within one second
+_MANY_FAILED = 30  # failures that are evidence also within one second
+# Seconds over which the versions are compared, with the difference that is
+# allowed; 0 for all time since the order. Neighbours slow a target for 0.2 s
+# at a time, some times in 10 s, and the new version has few targets, so that
+# slow responses must be many or last.
+_FAILED_WINDOWS = ((10, 0.004), (0, 0.004))
+_SLOW_WINDOWS = ((3, 0.25), (6, 0.15), (10, 0.1), (0, 0.03))
 _RECENT_SECONDS = 10
 
 
@@ -141,7 +144,8 @@
 
     Attributes:
         route: The route, empty for all together.
-        symptom: ``failed``, ``slow`` or ``bad`` for both.
+        symptom: ``failed`` or ``slow``.
+        window: Over how many seconds, 0 for all since the order.
         bad: The bad responses of the new version.
         total: All its responses.
         base_bad: The bad responses of the old version.
@@ -152,6 +156,7 @@
 
     route: str
     symptom: str
+    window: int
     bad: int
     total: int
     base_bad: int
@@ -183,16 +188,36 @@
 
     def worst(self) -> Finding | None:
         """Return the strongest evidence against the new version."""
-        recent = Outcomes()
-        for _, outcomes in self._by_second:
-            recent.add(outcomes.rows())
         limits = self._limits()
         findings = [
-            *self._findings(self.all, limits),
-            *self._findings(recent, limits),
+            *self._symptom('failed', _FAILED_WINDOWS, limits),
+            *self._symptom('slow', _SLOW_WINDOWS, limits),
         ]
         return max(findings, key=lambda one: one.score, default=None)
 
+    def _symptom(
+        self,
+        symptom: str,
+        windows: tuple[tuple[int, float], ...],
+        limits: dict[str, int | None],
+    ) -> Iterator[Finding]:
+        """Return what speaks against the new version, for all windows."""
+        for window, margin in windows:
+            for finding in self._findings(symptom, window, margin, limits):
+                if finding.score and self._is_lasting(finding):
+                    yield finding
+
+    def _latest(self, window: int) -> Outcomes:
+        """Return the outcomes of the latest seconds, of all time for 0."""
+        if not window or not self._by_second:
+            return self.all
+        last = self._by_second[-1][0]
+        latest = Outcomes()
+        for second, outcomes in self._by_second:
+            if second > last - window:
+                latest.add(outcomes.rows())
+        return latest
+
     def _limits(self) -> dict[str, int | None]:
         """Return for each route the highest bucket that is not slow."""
         limits: dict[str, int | None] = {}
@@ -202,71 +227,84 @@
         return limits
 
     def _findings(
-        self, outcomes: Outcomes, limits: dict[str, int | None]
-    ) -> Iterator[Finding]:
-        sums: Counter[tuple[str, bool]] = Counter()
-        for route in outcomes.routes():
-            counts = _counts(outcomes, route, limits.get(route))
-            sums.update(counts)
-            yield from self._compare(route, counts, limits)
-        yield from self._compare(_ALL_ROUTES, sums, limits)
-
-    def _compare(
         self,
-        route: str,
-        counts: Counter[tuple[str, bool]],
+        symptom: str,
+        window: int,
+        margin: float,
         limits: dict[str, int | None],
     ) -> Iterator[Finding]:
-        for symptom in ('failed', 'slow', 'bad'):
-            finding = _finding(route, symptom, counts)
-            if finding.bad < _MIN_BAD:
-                continue
-            seconds = self._bad_seconds(route, symptom, limits)
-            is_failed = symptom == 'failed'
-            needed = _MIN_FAILED_SECONDS if is_failed else _MIN_SLOW_SECONDS
-            if seconds >= needed or finding.bad >= _MANY_BAD:
-                yield finding
-
-    def _bad_seconds(
-        self, route: str, symptom: str, limits: dict[str, int | None]
-    ) -> int:
-        """Return in how many of the latest seconds there was the symptom."""
-        found = 0
+        outcomes = self._latest(window)
+        sums = _Comparison()
+        for route in outcomes.routes():
+            counts = _compare(outcomes, route, symptom, limits.get(route))
+            sums.add(counts)
+            yield counts.finding(route, symptom, window, margin)
+        yield sums.finding(_ALL_ROUTES, symptom, window, margin)
+
+    def _is_lasting(self, finding: Finding) -> bool:
+        """Return whether the failures are more than those of one moment."""
+        if finding.symptom == 'slow' or finding.bad >= _MANY_FAILED:
+            return True
+        seconds = 0
         for _, outcomes in self._by_second:
-            routes = outcomes.routes() if route == _ALL_ROUTES else [route]
-            found += any(
-                _counts(outcomes, one, limits.get(one))[symptom, True]
-                for one in routes
+            is_one = finding.route != _ALL_ROUTES
+            routes = [finding.route] if is_one else outcomes.routes()
+            seconds += any(
+                outcomes.tally(route, is_canary=True).failed for route in routes
             )
-        return found
-
-
-def _counts(
-    outcomes: Outcomes, route: str, limit: int | None
-) -> Counter[tuple[str, bool]]:
-    """Return the responses of a route by symptom and version."""
-    counts: Counter[tuple[str, bool]] = Counter()
-    for is_canary in (False, True):
-        tally = outcomes.tally(route, is_canary=is_canary)
-        slow = tally.slow(limit)
-        counts['failed', is_canary] = tally.failed
-        counts['slow', is_canary] = slow
-        counts['bad', is_canary] = tally.failed + slow
-        counts['total', is_canary] = tally.total
-    return counts
-
-
-def _finding(
-    route: str, symptom: str, counts: Counter[tuple[str, bool]]
-) -> Finding:
-    bad, total = counts[symptom, True], counts['total', True]
-    base_bad, base_total = counts[symptom, False], counts['total', False]
-    base_share = _UNKNOWN_BASE_SHARE
-    if base_total:
-        base_share = (base_bad + 0.5) / (base_total + 1)
-    expected = min(_MAX_EXPECTED, _BASE_FACTOR * base_share + _BASE_MARGIN)
-    score = _score(bad, total, expected)
-    return Finding(route, symptom, bad, total, base_bad, base_total, score)
+        return seconds >= _MIN_FAILED_SECONDS
+
+
+@dataclass(slots=True)
+class _Comparison:
+    """The bad responses and all responses of both versions."""
+
+    bad: int = 0
+    total: int = 0
+    base_bad: int = 0
+    base_total: int = 0
+
+    def add(self, other: _Comparison) -> None:
+        """Add the responses of a route."""
+        self.bad += other.bad
+        self.total += other.total
+        self.base_bad += other.base_bad
+        self.base_total += other.base_total
+
+    def finding(
+        self, route: str, symptom: str, window: int, margin: float
+    ) -> Finding:
+        """Return what the comparison proves."""
+        base_share = _UNKNOWN_BASE_SHARE
+        if self.base_total:
+            base_share = (self.base_bad + 0.5) / (self.base_total + 1)
+        expected = min(_MAX_EXPECTED, _BASE_FACTOR * base_share + margin)
+        score: float = 0
+        if self.bad >= _MIN_BAD:
+            score = _score(self.bad, self.total, expected)
+        return Finding(
+            route,
+            symptom,
+            window,
+            self.bad,
+            self.total,
+            self.base_bad,
+            self.base_total,
+            score,
+        )
+
+
+def _compare(
+    outcomes: Outcomes, route: str, symptom: str, limit: int | None
+) -> _Comparison:
+    """Compare the responses of a route."""
+    base = outcomes.tally(route, is_canary=False)
+    canary = outcomes.tally(route, is_canary=True)
+    if symptom == 'failed':
+        return _Comparison(canary.failed, canary.total, base.failed, base.total)
+    return _Comparison(
+        canary.slow(limit), canary.total, base.slow(limit), base.total
+    )
 
 
 def _score(bad: int, total: int, expected: float) -> float:
