Decide on a release later, and on less evidence

Change: the time kept before the limit is a fifth, a lower score rolls back at the time of decision, and a node that hears nobody reads the record every 3 s.

--- a/bluebellsill/rollouts/decision.py
+++ b/bluebellsill/rollouts/decision.py
@@ -24,7 +24,7 @@
 _REPORT_DELAY = 1.5  # seconds from a request to its count at the acting node
 _RATE_WINDOW = 3.0  # seconds over which the rate of requests is averaged
 _CLEAR_SCORE = 9.0  # a probability of 0.0001 with the old version
-_DOUBT_SCORE = 5.0  # of 0.007; too much to switch to the new version
+_DOUBT_SCORE = 3.0  # of 0.05; too much to switch to the new version
 _MIN_GOOD_ANSWERS = 20  # of the new version, before the second step
 _FIRST_SHARE = 0.05
 _MIN_SECOND_SHARE = 0.1
@@ -35,7 +35,7 @@
 # The decision is made late, because a version may turn bad late and the old
 # targets stop at once. The rest of the time is kept for the switch and for a
 # store that is away for some seconds.
-_RESERVED_SHARE = 0.25
+_RESERVED_SHARE = 0.2
 _MIN_RESERVED = 8.0  # seconds
 _SWITCH_SECONDS = 3.0  # until no request runs at the old targets any more
 # A used route with so few answers of the new version is waited for; the wait
--- a/bluebellsill/rollouts/releases.py
+++ b/bluebellsill/rollouts/releases.py
@@ -323,10 +323,9 @@
             return
         turn = self._turn(release.order.service)
         is_due = turn is not None and silence >= first + _PATIENCE_STEP * turn
-        if heard_at is None and not release.has_read:
-            if is_due or now - release.seen_at >= _READ_AFTER:
-                self._read(release, now)
-        elif is_due:
+        if is_due or silence >= _READ_AFTER:
+            self._read(release, now)
+        if is_due and release.has_read:
             release.role.acquire(now)
 
     def _turn(self, service: str) -> int | None:
@@ -341,7 +340,8 @@
         return order.index(own_id) if own_id in order else None
 
     def _read(self, release: _Release, now: float) -> None:
-        if release.read_at is not None and now - release.read_at < _READ_PERIOD:
+        read_at = release.read_at
+        if read_at is not None and now - read_at < _READ_PERIOD:
             return
         release.read_at = now
 
