--- a/tests/test_canary_decision.py
+++ b/tests/test_canary_decision.py
@@ -59,8 +59,17 @@
         # With 10 requests a second the bound leaves 110 requests, too few to
         # tell a version of which 5% fail from one of which 0.5% fail.
         *((10, one) for one in (_fails(0.3), _fails(1), _slow(0.3), _slow(1))),
-        *((200, one) for one in (_fails(0.05), _fails(0.3), _slow(0.3))),
-        *((600, one) for one in (_fails(0.05), _fails(1), _slow(1))),
+        *(
+            (rate, one)
+            for rate in (200, 600)
+            for one in (
+                _fails(0.05),
+                _fails(0.3),
+                _fails(1),
+                _slow(0.3),
+                _slow(1),
+            )
+        ),
     ],
 )
 def test_version_that_is_bad_at_once_is_rolled_back(
