--- a/bluebellsill/caller_side.py
+++ b/bluebellsill/caller_side.py
@@ -30,7 +30,9 @@
     from bluebellsill.peer_stack import PeerStack
     from bluebellsill.quarantine import Quarantine
     from bluebellsill.reactor import Reactor
+    from bluebellsill.router_registry import VersionRules
     from bluebellsill.target_side import TargetSide
+    from bluebellsill.timers import TimerService
     from bluebellsill.view_age import ViewAge
 
 __all__ = ('CallerSide',)
@@ -57,7 +59,7 @@
         metrics: Metrics,
         target_side: TargetSide,
         random: Random,
-        view: ViewAge,
+        versions: VersionRules,
     ) -> None:
         """Bind the listener for callers.
 
@@ -70,7 +72,7 @@
             metrics: Counts the outcomes of requests.
             target_side: Runs calls at the local target.
             random: Draws ids and targets.
-            view: The age of this node's view of the store.
+            versions: Select the versions of targets that get requests.
 
         Raises:
             OSError: The address cannot be bound.
@@ -79,6 +81,7 @@
         self.bounds: BoundSettings = settings.enforced_bounds()
         self.is_draining = False
         self._members = members
+        self._metrics = metrics
         self._runner = target_side.runner
         self._service = settings.target.service
         self._clock = reactor.timers.clock
@@ -97,6 +100,7 @@
             state,
             lambda: NearestFree(random, members.own.zone),
             self._retry_budget,
+            versions,
         )
         self.gateway = Gateway(
             members.own.id,
@@ -113,18 +117,23 @@
                 metrics,
             ),
         )
+        self.server = HttpServer(
+            reactor,
+            Address.parse(settings.listen.callers),
+            self._on_request,
+        )
+
+    def confirm_lookups(
+        self, view: ViewAge, state: OperatorState, timers: TimerService
+    ) -> None:
+        """Look unknown keys and routes up again once the view is confirmed."""
         self.gateway.lookup = ConfirmedLookup(
             self._interface.filters,
             CALLER_HEADERS.deadline,
             state,
             view,
-            reactor.timers,
-            metrics,
-        )
-        self.server = HttpServer(
-            reactor,
-            Address.parse(settings.listen.callers),
-            self._on_request,
+            timers,
+            self._metrics,
         )
 
     def _on_request(self, request: Request, reply: Reply) -> None:
--- a/bluebellsill/filters.py
+++ b/bluebellsill/filters.py
@@ -18,6 +18,7 @@
     from bluebellsill.configuration import Configuration
     from bluebellsill.http import Request
     from bluebellsill.quarantine import Quarantine
+    from bluebellsill.router_registry import VersionTraffic
     from bluebellsill.teams import Team
 
 __all__ = (
@@ -69,6 +70,8 @@
         unknown_key: A key that no document in force had so far; it may be
             looked up again in a later one.
         granted_by: The nodes that granted the claim of the idempotency key.
+        traffic: Counts the outcomes by version of the targets, None without a
+            canary release.
     """
 
     request: Request
@@ -88,6 +91,7 @@
     key_version: int = 0
     unknown_key: str = field(default='', repr=False)
     granted_by: list[str] = field(default_factory=list)
+    traffic: VersionTraffic | None = None
 
     def __post_init__(self) -> None:
         """Treat the request as a first attempt."""
