Read the limits of the VM from a node's settings

Cause: a node cannot bound what clients make it hold without knowing the memory and the descriptors of its VM; a settings file with a section [limits] is refused as a whole. Change: the optional section [limits] with memory_mb and max_descriptors is accepted and checked. Nothing uses it yet. Result: tests/test_mesh_settings.py passes.

--- a/bluebellsill/mesh_settings.py
+++ b/bluebellsill/mesh_settings.py
@@ -10,6 +10,7 @@
 
 __all__ = (
     'BoundSettings',
+    'LimitSettings',
     'MeshListenSettings',
     'MeshNodeSettings',
     'MeshSettings',
@@ -98,6 +99,18 @@
     cold_slack: Annotated[float, Meta(ge=0)] = 0
 
 
+class LimitSettings(Struct, frozen=True):
+    """The limits of the VM, None where they are not stated.
+
+    Attributes:
+        memory_mb: The memory in MiB.
+        max_descriptors: The number of descriptors that a process may open.
+    """
+
+    memory_mb: Positive | None = None
+    max_descriptors: Annotated[int, Meta(gt=0)] | None = None
+
+
 class MeshSettings(Struct, frozen=True):
     """All settings of a node.
 
@@ -108,6 +121,7 @@
         store: The platform's store.
         bounds: The platform's bounds by name; ``enforced_bounds`` returns those
             that the node enforces.
+        limits: The limits of the VM.
         seeds: Addresses of nodes to join through; only the hosts are used,
             as all nodes listen for peers on the same port.
     """
@@ -117,6 +131,7 @@
     target: MeshTargetSettings
     store: MeshStoreSettings
     bounds: dict[str, float | bool] = {}
+    limits: LimitSettings = LimitSettings()
     seeds: tuple[AddressText, ...] = ()
 
     def enforced_bounds(self) -> BoundSettings:
--- a/tests/test_mesh_settings.py
+++ b/tests/test_mesh_settings.py
@@ -7,6 +7,7 @@
 import pytest
 
 from bluebellsill.mesh_command import load, run
+from bluebellsill.mesh_settings import LimitSettings
 
 _VALID = """
 seeds = ["10.0.0.9:8620"]
@@ -28,6 +29,9 @@
 [bounds]
 grace_s = 6
 a_future_bound = true
+[limits]
+memory_mb = 200
+max_descriptors = 4100
 """
 
 
@@ -36,6 +40,7 @@
     path.write_text(_VALID)
     settings = load(path).unwrap()
     assert settings.enforced_bounds().grace_s == 6
+    assert settings.limits == LimitSettings(200, 4100)
     assert run([str(path), '--check']) == 0
 
 
@@ -47,6 +52,7 @@
         ('[store]', '[shop]', 'store = nothing: is required'),
         ('grace_s = 6', 'grace_s = -1', "bounds = {'grace_s': -1"),
         ('grace_s = 6', 'grace_s = ', 'file ='),
+        ('memory_mb = 200', 'memory_mb = 0', 'limits.memory_mb = 0'),
         ('is_first_start = true', 'is_first_start = 3', 'is_first_start = 3'),
     ],
 )
@@ -61,3 +67,10 @@
     path.write_text(_VALID.replace(old, new))
     assert run([str(path)]) == 2
     assert message in capsys.readouterr().err
+
+
+def test_settings_without_limits_of_the_vm_are_valid(tmp_path: Path) -> None:
+    # Deployments may render no such section; then there are no such limits.
+    path = tmp_path / 'node.toml'
+    path.write_text(_VALID.partition('[limits]')[0])
+    assert load(path).unwrap().limits == LimitSettings()
