--- a/demo/mesh_harness.py
+++ b/demo/mesh_harness.py
@@ -50,6 +50,7 @@
     ports: dict[str, str]
     settings: Path
     command: list[str] = field(default_factory=list)
+    limits: dict[str, int] = field(default_factory=dict)
     node: Process | None = None
     target: Process | None = None
 
@@ -113,8 +114,22 @@
         self.store = Process(command, folder / 'store.log')
         self.store.read_listening()
 
-    def add(self, zone: str, service: str, *, is_first: bool = True) -> Vm:
-        """Start the node and the target of a new VM."""
+    def add(
+        self,
+        zone: str,
+        service: str,
+        *,
+        is_first: bool = True,
+        limits: dict[str, int] | None = None,
+    ) -> Vm:
+        """Start the node and the target of a new VM.
+
+        Args:
+            zone: The availability zone of the VM.
+            service: The service of the target.
+            is_first: Whether the whole deployment starts for the first time.
+            limits: The limits of the VM that the settings of the node state.
+        """
         index = len(self.vms) + 1
         ports = _free_addresses(index)
         vm = Vm(
@@ -123,6 +138,7 @@
             service,
             ports,
             self.folder / f'vm-{index}.toml',
+            limits=limits or {},
         )
         self._write_settings(vm, is_first=is_first)
         self.vms.append(vm)
@@ -166,11 +182,20 @@
         vm.target = Process(command, self.folder / f'{vm.name}-target.log')
         vm.target.read_listening()
 
-    def declare(self, routes: list[dict[str, Any]]) -> None:
-        """Write the next version of the routing document."""
+    def declare(
+        self,
+        routes: list[dict[str, Any]],
+        limits: dict[str, int] | None = None,
+    ) -> None:
+        """Write the next version of the routing document.
+
+        Args:
+            routes: The routes.
+            limits: The limits on requests, None to state none.
+        """
         self.version += 1
         services = {route.get('service', '') for route in routes}
-        document = {
+        document: dict[str, Any] = {
             'version': f'r{self.version}',
             'services': [
                 {'name': name, 'health_path': '/healthz', 'cold_per_s': 8}
@@ -178,6 +203,8 @@
             ],
             HOSTS_FIELD: [{'hostname': HOST, RULES_FIELD: routes}],
         }
+        if limits is not None:
+            document['limits'] = limits
         self.operate('PUT', DOCUMENT_KEY, json.dumps(document).encode())
 
     def operate(self, method: str, key: str, body: bytes = b'') -> None:
@@ -320,6 +347,8 @@
                     f'address = "{self._address(vm, "store")}"',
                     '[bounds]',
                     'grace_s = 6',
+                    '[limits]',
+                    *(f'{name} = {vm.limits[name]}' for name in vm.limits),
                 ),
             ),
             encoding='utf-8',
--- /dev/null
+++ b/tests/hostile/__init__.py
@@ -0,0 +1,1 @@
+"""Tests with clients that try to exhaust a node."""
