Bound what clients can make a node hold

Cause: a head was measured only if a read ended inside it, trailers became headers without a limit, requests sent ahead were parsed and queued without a limit, and responses were written whether or not the client reads. A header line of five bytes takes some 220 bytes in memory. Change: bluebellsill/client_input parses in small pieces, stops reading while a connection holds enough, limits heads, empty lines and trailers however they arrive, and closes clients that make no progress with a body or a response. With [limits] in the settings, all clients of the callers' listener share an eighth of the memory and half of the descriptors; above that, requests of very many lines get 503, and those that hold most or are idle are closed. Trailers are dropped.

--- a/bluebellsill/caller_side.py
+++ b/bluebellsill/caller_side.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from bluebellsill.balancing_policy import NearestFree
+from bluebellsill.client_input import InputBounds, InputEvents
 from bluebellsill.errors import ErrorKind
 from bluebellsill.gateway import Gateway
 from bluebellsill.http_server import HttpServer
@@ -91,10 +92,13 @@
             metrics,
             avoids_queues=True,
         )
+        limits = settings.limits
         self.server = HttpServer(
             reactor,
             Address.parse(settings.listen.callers),
             self._on_request,
+            bounds=InputBounds.of_vm(limits.memory_mb, limits.max_descriptors),
+            events=InputEvents(metrics, self._interface.correlation),
         )
 
     def _on_request(self, request: Request, reply: Reply) -> None:
--- a/bluebellsill/mesh_node.py
+++ b/bluebellsill/mesh_node.py
@@ -257,6 +257,10 @@
             links=lambda: len(self._peers.links),
             gossip_bytes_sent=lambda: self._peers.gossip.bytes_sent,
             in_flight=lambda: self._caller_side.gateway.in_flight,
+            client_connections=lambda: (
+                self._caller_side.server.open_connections
+            ),
+            client_bytes=lambda: self._caller_side.server.budget.used,
             at_target=lambda: self._runner.in_flight,
             starts=lambda: self._metrics.counts['starts'],
             target_rate_limit=lambda: self._runner.directives.rate_limit_gauge,
--- a/bluebellsill/reactor.py
+++ b/bluebellsill/reactor.py
@@ -2,7 +2,14 @@
 
 from __future__ import annotations
 
-from select import EPOLLIN, EPOLLOUT, epoll
+from select import (
+    EPOLLERR,
+    EPOLLHUP,
+    EPOLLIN,
+    EPOLLOUT,
+    EPOLLRDHUP,
+    epoll,
+)
 from traceback import format_exc as trace
 from typing import TYPE_CHECKING, Protocol
 
@@ -18,6 +25,7 @@
 __all__ = ('Reactor', 'Source')
 
 _MAX_WAIT = 0.5  # seconds that one poll may block
+_ENDED = EPOLLERR | EPOLLHUP | EPOLLRDHUP
 
 
 class Source(Protocol):
@@ -51,6 +59,7 @@
         self._epoll = epoll()
         self._log = get_logger('reactor')
         self._sources_by_fd: dict[int, Source] = {}
+        self._unread_fds: set[int] = set()  # not polled for data
 
     def add(self, source: Source, *, writable: bool = False) -> None:
         """Start to poll a source.
@@ -63,13 +72,29 @@
         self._sources_by_fd[fd] = source
         self._epoll.register(fd, _mask(writable=writable))
 
-    def want_write(self, source: Source, *, writable: bool) -> None:
-        """Set whether a source is polled for writability."""
-        self._epoll.modify(source.fileno(), _mask(writable=writable))
+    def want_write(
+        self, source: Source, *, writable: bool, readable: bool = True
+    ) -> None:
+        """Set for what a source is polled.
+
+        Args:
+            source: The owner of the socket.
+            writable: Whether to poll for writability.
+            readable: Whether to poll for data; ``on_readable`` is also called
+                when the other side closes the connection or it fails.
+        """
+        fd = source.fileno()
+        if readable:
+            self._unread_fds.discard(fd)
+        else:
+            self._unread_fds.add(fd)
+        mask = _mask(writable=writable, readable=readable)
+        self._epoll.modify(fd, mask)
 
     def remove(self, source: Source) -> None:
         """Stop polling a source; its socket must still be open."""
         fd = source.fileno()
+        self._unread_fds.discard(fd)
         if self._sources_by_fd.pop(fd, None) is not None:
             self._epoll.unregister(fd)
 
@@ -102,10 +127,15 @@
     def _serve(self, source: Source, fd: int, mask: int) -> None:
         if mask & EPOLLOUT:
             source.on_writable()
+        # The poll may have found data before the source stopped reading.
+        if fd in self._unread_fds and not mask & _ENDED:
+            return
         # A source that closed itself in ``on_writable`` has been removed.
         if mask & ~EPOLLOUT and self._sources_by_fd.get(fd) is source:
             source.on_readable()
 
 
-def _mask(*, writable: bool) -> int:
-    return EPOLLIN | EPOLLOUT if writable else EPOLLIN
+def _mask(*, writable: bool, readable: bool = True) -> int:
+    # Without EPOLLIN, only EPOLLRDHUP tells that the other side has closed.
+    mask = EPOLLIN if readable else EPOLLRDHUP
+    return mask | EPOLLOUT if writable else mask
--- a/bluebellsill/streams.py
+++ b/bluebellsill/streams.py
@@ -75,7 +75,12 @@
 
 
 class Stream:
-    """A non-blocking TCP connection that reports to one owner."""
+    """A non-blocking TCP connection that reports to one owner.
+
+    Attributes:
+        on_drained: Called when all queued bytes are written.
+        read_size: Maximum bytes of one read.
+    """
 
     def __init__(self, reactor: Reactor, sock: socket) -> None:
         """Wrap a connected socket; ``owner`` is set before bytes arrive."""
@@ -83,6 +88,9 @@
         self.is_connected = True
         self.is_closed = False
         self.received_eof = False
+        self.on_drained: Callable[[], None] | None = None
+        self.read_size = _READ_SIZE
+        self._is_paused = False
         self._closes_when_sent = False
         self._reactor = reactor
         self._socket = sock
@@ -134,7 +142,7 @@
             return
         if sent < len(payload):
             self._unsent += payload[sent:]
-            self._reactor.want_write(self, writable=True)
+            self._update_polling()
 
     @property
     def unsent_bytes(self) -> int:
@@ -164,10 +172,28 @@
         if self.owner is not None:
             self.owner.on_lost(reason)
 
+    def pause_reading(self) -> None:
+        """Leave received bytes in the kernel, so that the sender must wait.
+
+        If the other side closes the connection meanwhile, it is lost.
+        """
+        if not self._is_paused and not self.is_closed:
+            self._is_paused = True
+            self._update_polling()
+
+    def resume_reading(self) -> None:
+        """Read again after ``pause_reading``."""
+        if self._is_paused and not self.is_closed:
+            self._is_paused = False
+            self._update_polling()
+
     def on_readable(self) -> None:
         """Read available bytes and pass them to the owner."""
+        if self._is_paused:
+            self.lose('closed by the other side')
+            return
         try:
-            chunk = self._socket.recv(_READ_SIZE)
+            chunk = self._socket.recv(self.read_size)
         except BlockingIOError:
             return
         except OSError as error:
@@ -195,8 +221,15 @@
             return
         if self._closes_when_sent:
             self.close()
-        else:
-            self._reactor.want_write(self, writable=False)
+            return
+        self._update_polling()
+        if self.on_drained is not None:
+            self.on_drained()
+
+    def _update_polling(self) -> None:
+        self._reactor.want_write(
+            self, writable=bool(self._unsent), readable=not self._is_paused
+        )
 
     def _finish_connect(self) -> bool:
         code = self._socket.getsockopt(SOL_SOCKET, SO_ERROR)
--- a/tests/test_http_limits.py
+++ b/tests/test_http_limits.py
@@ -30,6 +30,7 @@
         self.sent = b''
         self.is_closed = False
         self.unsent_bytes = 0
+        self.is_paused = False
 
     def start(self, owner: object) -> None:
         """Do nothing."""
@@ -38,6 +39,14 @@
         """Record the payload."""
         self.sent += payload
 
+    def pause_reading(self) -> None:
+        """Record that nothing is read."""
+        self.is_paused = True
+
+    def resume_reading(self) -> None:
+        """Record that the connection is read."""
+        self.is_paused = False
+
     def close(self) -> None:
         """Record that the connection is closed."""
         self.is_closed = True
