Handle idempotent requests of one connection beside each other

Cause: requests sent ahead on a connection were handled one after another, so a slow one delayed all behind it. Change: the listener for callers tells by the route of a request whether it may overlap. Other servers are as before.

--- a/bluebellsill/caller_side.py
+++ b/bluebellsill/caller_side.py
@@ -66,6 +66,7 @@
         self.is_draining = False
         self._members = members
         self._runner = runner
+        self._state = state
         self._service = settings.target.service
         self._clock = reactor.timers.clock
         self._interface = RouteInterface(
@@ -97,6 +98,7 @@
             reactor,
             Address.parse(settings.listen.callers),
             self._on_request,
+            may_overlap=self._is_idempotent,
             bounds=InputBounds.of_vm(limits.memory_mb, limits.max_descriptors),
             events=InputEvents(metrics, self._interface.correlation),
         )
@@ -114,6 +116,14 @@
         caller = self._service if is_target else EXTERNAL_CALLER
         self.gateway.handle(request, reply, caller)
 
+    def _is_idempotent(self, request: Request) -> bool:
+        """Return whether a request may be handled beside others."""
+        plan = self._state.plan
+        if plan is None:
+            return False
+        route = plan.table.match(request.header('host'), request.path)
+        return route is not None and route.is_idempotent
+
     def _retry_budget(self) -> RetryBudget:
         rules = shared_budget(self.bounds, len(self._members.live()))
         return RetryBudget(rules, self._clock.now())
