Bound many small connections, and spend less time on each request

Cause: connections that hold less than 64 KiB each were never closed for memory, so thousands of them could exceed the budget, and then ordinary requests were refused. A connection that sends a body was closed first when there were too many. What was left unparsed kept the whole read in memory. Change: above the budget, connections of more than 12 KiB are closed or refused, largest first; those of less are always served. Connections that send a body make room last. Bytes of heads are counted per piece, not per line.

--- a/bluebellsill/client_input/budget.py
+++ b/bluebellsill/client_input/budget.py
@@ -4,11 +4,15 @@
 
 from typing import Protocol
 
-__all__ = ('SMALL', 'Account', 'InputBudget', 'Spender')
+__all__ = ('SMALL', 'USUAL', 'Account', 'InputBudget', 'Spender')
 
 # Bytes that a connection may always hold: a usual request takes some 4 KiB, and
 # one with a head of 16 KiB in twenty lines 22 KiB.
 SMALL = 65536
+# Bytes up to which a connection is ordinary and never closed for memory. One
+# request of 2 KiB in thirty lines takes 10 KiB. All connections of a VM with 200
+# MB and 4,100 descriptors together stay within the budget if each holds so much.
+USUAL = 12288
 # Bytes of a body or a response from which it may take the place for large ones.
 _LARGE = 262144
 
@@ -73,7 +77,7 @@
     Below half of the capacity nothing is restricted. Above it, connections
     that hold more than ``SMALL`` stop reading, and requests with heads above
     ``SMALL`` are refused. Above the capacity, the connections that hold most
-    are closed.
+    are closed, and requests on those above ``USUAL`` are refused.
 
     The payload of one connection at a time does not count: a single large
     body or response may exceed the capacity, and is served.
@@ -132,7 +136,7 @@
         evictable = (
             one
             for one in self._accounts
-            if one.counted > SMALL and one.spender.is_evictable
+            if one.counted > USUAL and one.spender.is_evictable
         )
         return max(evictable, key=_counted, default=None)
 
--- a/bluebellsill/client_input/connection.py
+++ b/bluebellsill/client_input/connection.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from contextlib import contextmanager
 from typing import TYPE_CHECKING, Protocol
 
 from bluebellsill.client_input.intake import OVERLOADED, Intake, IntakeRules
@@ -12,8 +11,6 @@
 from bluebellsill.http import Request, problem_response
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
-
     from bluebellsill.errors import Problem
     from bluebellsill.streams import Stream
     from bluebellsill.timers import TimerService
@@ -60,18 +57,15 @@
 
     Attributes:
         stream: The connection.
-        has_served: Whether a response has been sent.
     """
 
     def __init__(self, server: ConnectionOwner, stream: Stream) -> None:
         """Serve an accepted connection."""
         self.stream = stream
-        self.has_served = False
+        self._has_served = False
         self._server = server
         self._timeouts = ConnectionTimeouts(server.timers.clock, server.limits)
-        self._intake = Intake(
-            server, self, self._timeouts, lambda: stream.unsent_bytes
-        )
+        self._intake = Intake(server, self, self._timeouts, stream)
         self._pipeline = self._intake.pipeline
         self._is_advancing = False
         self._is_closing = False
@@ -127,9 +121,15 @@
         return not self._pipeline
 
     @property
-    def idle_since(self) -> float:
-        """When it was opened or the last response was sent."""
-        return self._timeouts.active_at
+    def rank(self) -> tuple[bool, bool, float]:
+        """The order in which idle connections make room, lowest first.
+
+        Those that send a body come last, and before them those that have been
+        of use. Ordinary clients send a request as soon as they have connected.
+        """
+        reader = self._intake.reader
+        has_body = reader.has_begun and not reader.is_reading_head
+        return has_body, self._has_served, self._timeouts.active_at
 
     @property
     def is_evictable(self) -> bool:
@@ -157,22 +157,19 @@
         """Send, handle and parse until nothing more is possible."""
         if self._is_advancing or self._is_closing:
             return
-        with self._advancing():
+        # A handler may answer at once, which calls this method again.
+        self._is_advancing = True
+        try:
             self._run_steps()
+        except BaseException:
+            self._is_advancing = False
+            raise
+        self._is_advancing = False
         if not self._is_closing:
             self._settle()
 
     # Requests and responses.
 
-    @contextmanager
-    def _advancing(self) -> Iterator[None]:
-        # A handler may answer at once, which calls ``advance`` again.
-        self._is_advancing = True
-        try:  # noqa: WPS501
-            yield
-        finally:
-            self._is_advancing = False
-
     def _run_steps(self) -> None:
         for _ in range(_MAX_STEPS):
             if self._is_closing or not self._step():
@@ -181,8 +178,12 @@
 
     def _step(self) -> bool:
         """Do one thing that is possible; return whether there was one."""
-        if self._send_response() or self._start_next():
+        if self._pipeline and (self._send_response() or self._start_next()):
             return True
+        return self._parse_more()
+
+    def _parse_more(self) -> bool:
+        """Parse what was received; return whether there was something."""
         intake = self._intake
         reader = intake.reader
         if intake.owes_continue and self.is_idle:
@@ -208,7 +209,7 @@
             self._server.is_closing and self._pipeline.started == 1
         )
         self._pipeline.pop()
-        self.has_served = True
+        self._has_served = True
         self._timeouts.on_idle(self._server.limits)
         self._send(head.take_output(closes_connection=closes_connection))
         if closes_connection:
--- a/bluebellsill/client_input/intake.py
+++ b/bluebellsill/client_input/intake.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Protocol
 
-from bluebellsill.client_input.budget import SMALL
+from bluebellsill.client_input.budget import SMALL, USUAL
 from bluebellsill.client_input.limits import MAX_READ_AHEAD, MAX_UNSENT
 from bluebellsill.client_input.pipeline import Exchange, Pipeline
 from bluebellsill.client_input.request_reader import (
@@ -15,12 +15,11 @@
 from bluebellsill.http import Request
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from bluebellsill.client_input.budget import InputBudget, Spender
     from bluebellsill.client_input.events import InputEvents
     from bluebellsill.client_input.limits import RequestLimits
     from bluebellsill.client_input.timeouts import ConnectionTimeouts
+    from bluebellsill.streams import Stream
 
 __all__ = ('OVERLOADED', 'Intake', 'IntakeRules')
 
@@ -63,7 +62,7 @@
         rules: IntakeRules,
         spender: Spender,
         timeouts: ConnectionTimeouts,
-        unsent: Callable[[], int],
+        stream: Stream,
     ) -> None:
         """Create the intake of a new connection.
 
@@ -71,7 +70,7 @@
             rules: What holds for all connections.
             spender: The connection, whose memory counts.
             timeouts: The timeouts of the connection.
-            unsent: Returns the bytes of responses that are not sent yet.
+            stream: Tells how much of the responses is not sent yet.
         """
         self.reader = RequestReader(self)
         self.pipeline = Pipeline(MAX_READ_AHEAD)
@@ -80,15 +79,15 @@
         self.owes_continue = False
         self._rules = rules
         self._timeouts = timeouts
-        self._unsent = unsent
+        self._stream = stream
 
     def update_account(self) -> None:
         """Count what the connection holds now."""
-        pipeline = self.pipeline
+        heads, payload = self.pipeline.held()
         reader = self.reader
         self.account.hold(
-            pipeline.head_cost + reader.held,
-            pipeline.payload + reader.body_size + self._unsent(),
+            heads + reader.held,
+            payload + reader.body_size + self._stream.unsent_bytes,
         )
 
     @property
@@ -132,7 +131,7 @@
         """Whether the connection can take more requests."""
         return (
             len(self.pipeline) < MAX_READ_AHEAD
-            and self._unsent() <= MAX_UNSENT
+            and self._stream.unsent_bytes <= MAX_UNSENT
             and not self.is_last_read
             and self.account.may_read
         )
@@ -154,16 +153,17 @@
         exchange = Exchange(parsed, self._rules.may_overlap, refusal)
         self.pipeline.add(exchange)
         self.is_last_read = exchange.closes_connection
-        self.update_account()
 
     def on_continue(self) -> None:
         """Note that the client waits for 100 Continue."""
         self.owes_continue = True
 
     def _refusal(self, parsed: ParsedRequest) -> Problem | None:
-        self.update_account()
         budget = self._rules.budget
-        is_refused = budget.is_exceeded or (
+        if not budget.is_tight:
+            return None
+        self.update_account()
+        is_refused = (budget.is_exceeded and self.account.counted > USUAL) or (
             budget.is_tight and parsed.head_cost > SMALL
         )
         return OVERLOADED if is_refused else None
--- a/bluebellsill/client_input/pipeline.py
+++ b/bluebellsill/client_input/pipeline.py
@@ -169,17 +169,19 @@
         head = self.head
         return head is not None and head.is_started and not head.may_overlap
 
-    @property
-    def head_cost(self) -> int:
-        """Estimated bytes that the heads of the requests take."""
-        return sum(one.parsed.head_cost for one in self._exchanges)
+    def held(self) -> tuple[int, int]:
+        """Return the bytes that are held.
 
-    @property
-    def payload(self) -> int:
-        """The bytes of the bodies and of the responses that wait."""
-        return sum(
-            one.parsed.body_size + one.response_size for one in self._exchanges
-        )
+        Returns:
+            The estimated bytes of the heads of the requests, and the bytes of
+            the bodies and of the responses that wait.
+        """
+        heads = 0
+        payload = 0
+        for one in self._exchanges:
+            heads += one.parsed.head_cost
+            payload += one.parsed.body_size + one.response_size
+        return heads, payload
 
     def _may_start(self, index: int) -> bool:
         """Return whether the first request not yet started may start now."""
--- a/bluebellsill/client_input/reply.py
+++ b/bluebellsill/client_input/reply.py
@@ -83,5 +83,6 @@
         self._owner.advance()
 
     def _write(self, part: bytes) -> None:
-        self._exchange.add(part)
-        self._owner.advance()
+        if not self.is_done:
+            self._exchange.add(part)
+            self._owner.advance()
--- a/bluebellsill/client_input/request_reader.py
+++ b/bluebellsill/client_input/request_reader.py
@@ -76,7 +76,6 @@
         is_reading_head: Whether the end of a head is awaited.
         has_begun: Whether a part of a request has been read, which is not
             complete; empty lines are no part of a request.
-        head_cost: Estimated bytes of memory that its head takes.
     """
 
     def __init__(self, owner: ReaderOwner) -> None:
@@ -90,6 +89,8 @@
         # Bytes since the last part of a body, or the end of a head or message.
         self._framing = 0
         self._makes_progress = False
+        self._piece_size = 0
+        self._body_length: int | None = None
         self._reset_request()
 
     def add(self, chunk: bytes) -> None:
@@ -100,23 +101,31 @@
 
     def parse(self) -> None:
         """Parse until nothing is left or the owner can take no more."""
-        while self.has_unparsed and self._owner.may_parse:
-            piece = self._unparsed[: self._piece_size()]
+        while self._unparsed and self._owner.may_parse:
+            piece = self._unparsed[: self._next_size()]
             self._unparsed = self._unparsed[len(piece) :]
             self._parse_piece(piece)
-        if not self.has_unparsed:
-            self._unparsed = memoryview(b'')
+        if self._unparsed:
+            # Frees the bytes that were parsed.
+            self._unparsed = memoryview(bytes(self._unparsed))
 
     @property
     def has_unparsed(self) -> bool:
         """Whether received bytes have not been parsed."""
-        return bool(self._unparsed) and self.problem is None
+        return bool(self._unparsed)
 
     @property
     def body_size(self) -> int:
         """The bytes of the body that have been read."""
         return len(self._body)
 
+    @property
+    def head_cost(self) -> int:
+        """Estimated bytes of memory that the head being read takes."""
+        lines = len(self._headers)
+        size = self._head_size or self._framing
+        return _REQUEST_COST + _LINE_COST * lines + size
+
     @property
     def held(self) -> int:
         """Estimated bytes of memory, without those of the body."""
@@ -146,8 +155,6 @@
     def on_url(self, url: bytes) -> None:
         """Store a part of the request target."""
         self._url += url
-        self.head_cost += len(url)
-        self._count_head(len(url))
 
     def on_header(self, name: bytes, text: bytes) -> None:
         """Store a header; trailers are dropped."""
@@ -155,19 +162,19 @@
             return
         pair = (name.decode('latin-1').lower(), text.decode('latin-1'))
         self._headers.append(pair)
-        size = len(name) + len(text)
-        self.head_cost += size + _LINE_COST
-        self._count_head(size + _LINE_FRAMING)
 
     def on_headers_complete(self) -> None:
         """Note the end of the head."""
         if self._parser.should_upgrade() or self.problem is not None:
             return
+        # Includes what precedes and follows the head in the same piece.
+        self._head_size = self._framing + self._piece_size
+        max_head = self._owner.limits.max_head
+        if self._head_size > max_head and self._least_head_size() > max_head:
+            self._fail_head('head exceeds', max_head)
+            return
         self.is_reading_head = False
         self._makes_progress = True
-        self._is_chunked = bool(find_header(self._headers, 'transfer-encoding'))
-        length = find_header(self._headers, 'content-length')
-        self._body_length = int(length) if length.isdecimal() else 0
         if find_header(self._headers, 'expect').lower() == '100-continue':
             self._owner.on_continue()
 
@@ -202,27 +209,38 @@
         self._reset_request()
         self._owner.on_request(parsed)
 
-    def _piece_size(self) -> int:
-        if self.is_reading_head or self._is_chunked:
+    def _next_size(self) -> int:
+        if self.is_reading_head:
             return _PIECE
+        if self._body_length is None:
+            self._body_length = self._stated_length()
         # The piece ends with the body, so that no further request is parsed.
-        return max(self._body_length - len(self._body), 1)
+        rest = self._body_length - len(self._body)
+        return rest if rest > 0 else _PIECE
+
+    def _stated_length(self) -> int:
+        """Return the length that the head states, 0 if it states none."""
+        if find_header(self._headers, 'transfer-encoding'):
+            return 0
+        length = find_header(self._headers, 'content-length')
+        return int(length) if length.isdecimal() else 0
 
     def _parse_piece(self, piece: memoryview) -> None:
         self._makes_progress = False
+        self._piece_size = len(piece)
         try:
             self._feed(piece)
         except HttpParserError as error:
             message = f'malformed HTTP: {error}'
             self.fail(Problem(ErrorKind.BAD_REQUEST, message))
-        self._framing = (
-            0 if self._makes_progress else (self._framing + len(piece))
-        )
+        if self._makes_progress:
+            self._framing = 0
+            return
+        self._framing += self._piece_size
         max_head = self._owner.limits.max_head
         if self._framing > max_head:
             part = 'head exceeds' if self.is_reading_head else 'trailers exceed'
-            message = f'request {part} {max_head} bytes'
-            self.fail(Problem(ErrorKind.HEAD_TOO_LARGE, message))
+            self._fail_head(part, max_head)
 
     def _feed(self, piece: memoryview) -> None:
         rest = piece
@@ -247,23 +265,25 @@
         self._parser = HttpRequestParser(self)
         self._parser.feed_data(head)
 
-    def _count_head(self, size: int) -> None:
-        """Count bytes of a head; those that the parser drops are not counted.
+    def _least_head_size(self) -> int:
+        """Return the bytes that the head has at least.
 
-        The bytes of whole pieces are counted as well, but a head that fits
-        must not be refused for the bytes that follow it.
+        Spaces that the parser drops are not counted. A head that fits must
+        not be refused for them, nor for bytes that follow it.
         """
-        self._head_size += size
-        max_head = self._owner.limits.max_head
-        if self._head_size > max_head:
-            message = f'request head exceeds {max_head} bytes'
-            self.fail(Problem(ErrorKind.HEAD_TOO_LARGE, message))
+        lines = (
+            len(name) + len(text) + _LINE_FRAMING
+            for name, text in self._headers
+        )
+        return len(self._url) + sum(lines)
+
+    def _fail_head(self, what: str, max_head: int) -> None:
+        message = f'request {what} {max_head} bytes'
+        self.fail(Problem(ErrorKind.HEAD_TOO_LARGE, message))
 
     def _reset_request(self) -> None:
         self._url = b''
         self._headers: Headers = []
         self._body = bytearray()
         self._head_size = 0
-        self._is_chunked = False
-        self._body_length = 0
-        self.head_cost = _REQUEST_COST
+        self._body_length = None
--- a/bluebellsill/http_server.py
+++ b/bluebellsill/http_server.py
@@ -134,7 +134,8 @@
             self._waiting.add(connection)
         else:
             self._waiting.discard(connection)
-        self.budget.relieve()
+        if self.budget.is_exceeded:
+            self.budget.relieve()
         if self._waiting and not self.budget.is_tight:
             self._resume_waiting()
 
@@ -163,20 +164,19 @@
     def _has_room(self) -> bool:
         """Return whether one more connection may be open.
 
-        Closes one that is idle to make room, first those that have never sent
-        a complete request, since ordinary clients send one at once.
+        Closes one that is idle to make room.
         """
         bound = self._max_connections
         is_open = len(self._connections) + len(self._ending)
         if bound is None or is_open < bound:
             return True
         idle = (one for one in self._connections if one.is_idle)
-        oldest = min(idle, key=_usefulness, default=None)
+        oldest = min(idle, key=_rank, default=None)
         if oldest is None:
             return False
         oldest.close_now('connections')
         return True
 
 
-def _usefulness(connection: ClientConnection) -> tuple[bool, float]:
-    return connection.has_served, connection.idle_since
+def _rank(connection: ClientConnection) -> tuple[bool, bool, float]:
+    return connection.rank
--- a/bluebellsill/streams.py
+++ b/bluebellsill/streams.py
@@ -23,6 +23,9 @@
 __all__ = ('Address', 'Listener', 'Stream', 'StreamOwner')
 
 _READ_SIZE = 262144  # bytes
+# All streams are read one after the other, into the same buffer: to allocate one
+# for each read, and to shrink it to what was read, costs more than to copy that.
+_buffer = memoryview(bytearray(_READ_SIZE))
 _BACKLOG = 512  # connections that the kernel queues until they are accepted
 _MAX_PORT = 65535
 
@@ -193,17 +196,17 @@
             self.lose('closed by the other side')
             return
         try:
-            chunk = self._socket.recv(self.read_size)
+            size = self._socket.recv_into(_buffer, self.read_size)
         except BlockingIOError:
             return
         except OSError as error:
             self.lose(str(error))
             return
-        if not chunk:
+        if not size:
             self.received_eof = True
             self.lose('closed by the other side')
         elif self.owner is not None:
-            self.owner.on_bytes(chunk)
+            self.owner.on_bytes(bytes(_buffer[:size]))
 
     def on_writable(self) -> None:
         """Finish connecting, then write queued bytes."""
