Reduce requests handled at once after refusals for lack of capacity

Change: a response with 503 halves the number of requests that its connection has handled at once, down to one; each other response raises it by one, up to 16.

--- a/bluebellsill/client_input/pipeline.py
+++ b/bluebellsill/client_input/pipeline.py
@@ -30,6 +30,7 @@
 
     __slots__ = (
         '_encode_last',
+        '_is_overloaded',
         '_may_overlap',
         '_parts',
         'closes_connection',
@@ -63,6 +64,7 @@
         self.response_size = 0
         self._parts: list[bytes] = []
         self._encode_last: Callable[[bool], bytes] | None = None
+        self._is_overloaded = False
 
     @property
     def may_overlap(self) -> bool:
@@ -76,6 +78,11 @@
         """Whether the response is complete."""
         return self._encode_last is not None
 
+    @property
+    def is_overloaded(self) -> bool:
+        """Whether the request was refused for lack of capacity."""
+        return self._is_overloaded
+
     @property
     def has_output(self) -> bool:
         """Whether a part of the response can be sent."""
@@ -86,14 +93,23 @@
         self._parts.append(part)
         self.response_size += len(part)
 
-    def complete(self, size: int, encode: Callable[[bool], bytes]) -> None:
+    def complete(
+        self,
+        size: int,
+        encode: Callable[[bool], bytes],
+        *,
+        is_overloaded: bool = False,
+    ) -> None:
         """Set the response, or the rest of it after the parts added before.
 
         Args:
             size: The bytes of its body.
             encode: Returns it in wire format; its argument states whether the
                 connection is closed afterwards.
+            is_overloaded: Whether the request was refused for lack of
+                capacity.
         """
+        self._is_overloaded = is_overloaded
         self.response_size += size + _RESPONSE_COST
         self._encode_last = encode
 
@@ -122,6 +138,7 @@
                 responses that wait for earlier ones.
         """
         self._max_started = max_started
+        self._limit = max_started
         self._exchanges: deque[Exchange] = deque()
 
     def __len__(self) -> int:
@@ -143,7 +160,12 @@
 
     def pop(self) -> Exchange:
         """Remove the head, whose response is complete."""
-        return self._exchanges.popleft()
+        exchange = self._exchanges.popleft()
+        if exchange.is_overloaded:
+            self._limit = max(self._limit // 2, 1)
+        else:
+            self._limit = min(self._limit + 1, self._max_started)
+        return exchange
 
     def clear(self) -> list[Exchange]:
         """Remove and return all exchanges."""
@@ -188,7 +210,7 @@
         if not index:
             return True
         return (
-            index < self._max_started
+            index < self._limit
             and not self._exchanges[index - 1].closes_connection
             and self._exchanges[0].may_overlap
             and self._exchanges[index].may_overlap
--- a/bluebellsill/client_input/reply.py
+++ b/bluebellsill/client_input/reply.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Protocol
 
 from msgspec import json
@@ -43,6 +44,7 @@
             lambda closes: response.encode(
                 closes_connection=closes, omits_body=omits_body
             ),
+            is_overloaded=response.status == HTTPStatus.SERVICE_UNAVAILABLE,
         )
 
     def send_truncated(self, response: Response) -> None:
@@ -77,9 +79,15 @@
             if self.on_abandoned is not None:
                 self.on_abandoned()
 
-    def _complete(self, size: int, encode: Callable[[bool], bytes]) -> None:
+    def _complete(
+        self,
+        size: int,
+        encode: Callable[[bool], bytes],
+        *,
+        is_overloaded: bool = False,
+    ) -> None:
         self.is_done = True
-        self._exchange.complete(size, encode)
+        self._exchange.complete(size, encode, is_overloaded=is_overloaded)
         self._owner.advance()
 
     def _write(self, part: bytes) -> None:
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -79,6 +79,22 @@
     assert _answered(world) == paths
 
 
+def test_refusals_reduce_the_requests_that_are_handled_at_once(
+    world: _ServerWorld,
+) -> None:
+    # A crowd that sends requests ahead took all capacity of a target, so that
+    # an ordinary client was not served within 20 s.
+    paths = [f'/{number}' for number in range(60)]
+    world.connection.on_bytes(b''.join(map(_get, paths)))
+    for number in range(16):
+        world.replies[number].send(Response(503))
+    assert len(world.requests) == 17
+    for number in range(16, 20):
+        world.replies[number].send(Response(200))
+    # One, and one more for each of the four responses.
+    assert len(world.requests) == 20 + 5
+
+
 def test_other_request_runs_alone(world: _ServerWorld) -> None:
     # A request that runs at most once must not overtake what it depends on.
     sent = _get('/a') + _get('/b') + _post('/pay') + _get('/c') + _get('/d')
