--- a/bluebellsill/caller_side.py
+++ b/bluebellsill/caller_side.py
@@ -6,6 +6,7 @@
 
 from bluebellsill.allowances import allowance_step
 from bluebellsill.balancing_policy import NearestFree
+from bluebellsill.client_input import InputBounds, InputEvents
 from bluebellsill.errors import ErrorKind
 from bluebellsill.gateway import Gateway
 from bluebellsill.http_server import HttpServer
@@ -83,6 +84,7 @@
         self._members = members
         self._metrics = metrics
         self._runner = target_side.runner
+        self._state = state
         self._service = settings.target.service
         self._clock = reactor.timers.clock
         self._interface = RouteInterface(
@@ -117,10 +119,14 @@
                 metrics,
             ),
         )
+        limits = settings.limits
         self.server = HttpServer(
             reactor,
             Address.parse(settings.listen.callers),
             self._on_request,
+            may_overlap=self._is_idempotent,
+            bounds=InputBounds.of_vm(limits.memory_mb, limits.max_descriptors),
+            events=InputEvents(metrics, self._interface.correlation),
         )
 
     def confirm_lookups(
@@ -151,6 +157,14 @@
         caller = self._service if is_target else EXTERNAL_CALLER
         self.gateway.handle(request, reply, caller)
 
+    def _is_idempotent(self, request: Request) -> bool:
+        """Return whether a request may be handled beside others."""
+        plan = self._state.plan
+        if plan is None:
+            return False
+        route = plan.table.match(request.header('host'), request.path)
+        return route is not None and route.is_idempotent
+
     def _retry_budget(self) -> RetryBudget:
         rules = shared_budget(self.bounds, len(self._members.live()))
         return RetryBudget(rules, self._clock.now())
--- a/bluebellsill/streams.py
+++ b/bluebellsill/streams.py
@@ -26,6 +26,9 @@
 __all__ = ('Address', 'Listener', 'Stream', 'StreamOwner')
 
 _READ_SIZE = 262144  # bytes
+# All streams are read one after the other, into the same buffer: to allocate one
+# for each read, and to shrink it to what was read, costs more than to copy that.
+_buffer = memoryview(bytearray(_READ_SIZE))
 _BACKLOG = 512  # connections that the kernel queues until they are accepted
 _MAX_PORT = 65535
 _INT = Struct('i')  # the result of ``TIOCOUTQ``
@@ -79,7 +82,12 @@
 
 
 class Stream:
-    """A non-blocking TCP connection that reports to one owner."""
+    """A non-blocking TCP connection that reports to one owner.
+
+    Attributes:
+        on_drained: Called when all queued bytes are written.
+        read_size: Maximum bytes of one read.
+    """
 
     def __init__(self, reactor: Reactor, sock: socket) -> None:
         """Wrap a connected socket; ``owner`` is set before bytes arrive."""
@@ -87,11 +95,14 @@
         self.is_connected = True
         self.is_closed = False
         self.received_eof = False
+        self.on_drained: Callable[[], None] | None = None
+        self.read_size = _READ_SIZE
+        self._is_paused = False
         self._closes_when_sent = False
         self._reactor = reactor
         self._socket = sock
         self._unsent = bytearray()
-        self.queued_bytes = 0  # passed to ``send`` so far
+        self._queued_bytes = 0
         sock.setblocking(False)
         sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
 
@@ -127,7 +138,7 @@
         """Write what the socket accepts immediately and queue the remainder."""
         if self.is_closed:
             return
-        self.queued_bytes += len(payload)
+        self._queued_bytes += len(payload)
         if self._unsent or not self.is_connected:
             self._unsent += payload
             return
@@ -142,7 +153,12 @@
             return
         if sent < len(payload):
             self._unsent += payload[sent:]
-            self._reactor.want_write(self, writable=True)
+            self._update_polling()
+
+    @property
+    def queued_bytes(self) -> int:
+        """The number of bytes that were passed to ``send`` so far."""
+        return self._queued_bytes
 
     @property
     def unsent_bytes(self) -> int:
@@ -156,7 +172,7 @@
             return 0
         buffer = ioctl(self._socket, TIOCOUTQ, bytes(_INT.size))
         unacknowledged = int(_INT.unpack(buffer)[0])
-        return self.queued_bytes - len(self._unsent) - unacknowledged
+        return self._queued_bytes - len(self._unsent) - unacknowledged
 
     def close(self) -> None:
         """Close without notifying the owner; idempotent."""
@@ -181,20 +197,38 @@
         if self.owner is not None:
             self.owner.on_lost(reason)
 
+    def pause_reading(self) -> None:
+        """Leave received bytes in the kernel, so that the sender must wait.
+
+        If the other side closes the connection meanwhile, it is lost.
+        """
+        if not self._is_paused and not self.is_closed:
+            self._is_paused = True
+            self._update_polling()
+
+    def resume_reading(self) -> None:
+        """Read again after ``pause_reading``."""
+        if self._is_paused and not self.is_closed:
+            self._is_paused = False
+            self._update_polling()
+
     def on_readable(self) -> None:
         """Read available bytes and pass them to the owner."""
+        if self._is_paused:
+            self.lose('closed by the other side')
+            return
         try:
-            chunk = self._socket.recv(_READ_SIZE)
+            size = self._socket.recv_into(_buffer, self.read_size)
         except BlockingIOError:
             return
         except OSError as error:
             self.lose(str(error))
             return
-        if not chunk:
+        if not size:
             self.received_eof = True
             self.lose('closed by the other side')
         elif self.owner is not None:
-            self.owner.on_bytes(chunk)
+            self.owner.on_bytes(bytes(_buffer[:size]))
 
     def on_writable(self) -> None:
         """Finish connecting, then write queued bytes."""
@@ -212,8 +246,15 @@
             return
         if self._closes_when_sent:
             self.close()
-        else:
-            self._reactor.want_write(self, writable=False)
+            return
+        self._update_polling()
+        if self.on_drained is not None:
+            self.on_drained()
+
+    def _update_polling(self) -> None:
+        self._reactor.want_write(
+            self, writable=bool(self._unsent), readable=not self._is_paused
+        )
 
     def _finish_connect(self) -> bool:
         code = self._socket.getsockopt(SOL_SOCKET, SO_ERROR)
--- a/demo/mesh_harness.py
+++ b/demo/mesh_harness.py
@@ -51,6 +51,7 @@
     settings: Path
     command: list[str] = field(default_factory=list)
     version: str = 'v1'
+    limits: dict[str, int] = field(default_factory=dict)
     node: Process | None = None
     target: Process | None = None
 
@@ -120,9 +121,18 @@
         service: str,
         *,
         is_first: bool = True,
+        limits: dict[str, int] | None = None,
         version: str = 'v1',
     ) -> Vm:
-        """Start the node and the target of a new VM."""
+        """Start the node and the target of a new VM.
+
+        Args:
+            zone: The availability zone of the VM.
+            service: The service of the target.
+            is_first: Whether the whole deployment starts for the first time.
+            limits: The limits of the VM that the settings of the node state.
+            version: The version of the target's program.
+        """
         index = len(self.vms) + 1
         ports = _free_addresses(index)
         vm = Vm(
@@ -132,6 +142,7 @@
             ports,
             self.folder / f'vm-{index}.toml',
             version=version,
+            limits=limits or {},
         )
         self._write_settings(vm, is_first=is_first)
         self.vms.append(vm)
@@ -176,16 +187,22 @@
         vm.target = Process(command, self.folder / f'{vm.name}-target.log')
         vm.target.read_listening()
 
-    def declare(self, routes: list[dict[str, Any]], **fields: Any) -> None:
+    def declare(
+        self,
+        routes: list[dict[str, Any]],
+        limits: dict[str, int] | None = None,
+        **fields: Any,
+    ) -> None:
         """Write the next version of the routing document.
 
         Args:
-            routes: The rules of the only host.
+            routes: The routes.
+            limits: The limits on requests, None to state none.
             fields: Further fields of the document.
         """
         self.version += 1
         services = {route.get('service', '') for route in routes}
-        document = {
+        document: dict[str, Any] = {
             'version': f'r{self.version}',
             'services': [
                 {'name': name, 'health_path': '/healthz', 'cold_per_s': 8}
@@ -194,6 +211,8 @@
             HOSTS_FIELD: [{'hostname': HOST, RULES_FIELD: routes}],
             **fields,
         }
+        if limits is not None:
+            document['limits'] = limits
         self.operate('PUT', DOCUMENT_KEY, json.dumps(document).encode())
 
     def operate(self, method: str, key: str, body: bytes = b'') -> None:
@@ -343,6 +362,8 @@
                     f'address = "{self._address(vm, "store")}"',
                     '[bounds]',
                     'grace_s = 6',
+                    '[limits]',
+                    *(f'{name} = {vm.limits[name]}' for name in vm.limits),
                 ),
             ),
             encoding='utf-8',
--- a/tests/test_mesh_settings.py
+++ b/tests/test_mesh_settings.py
@@ -7,6 +7,7 @@
 import pytest
 
 from bluebellsill.mesh_command import load, run
+from bluebellsill.mesh_settings import LimitSettings
 
 _VALID = """
 seeds = ["10.0.0.9:8620"]
@@ -30,6 +31,9 @@
 a_future_bound = true
 [overload]
 order = "cost"
+[limits]
+memory_mb = 200
+max_descriptors = 4100
 """
 
 
@@ -39,6 +43,7 @@
     settings = load(path).unwrap()
     assert settings.enforced_bounds().grace_s == 6
     assert settings.overload.order == 'cost'
+    assert settings.limits == LimitSettings(200, 4100)
     assert run([str(path), '--check']) == 0
 
 
@@ -51,6 +56,7 @@
         ('grace_s = 6', 'grace_s = -1', "bounds = {'grace_s': -1"),
         ('grace_s = 6', 'grace_s = ', 'file ='),
         ('order = "cost"', 'order = "cheap"', "overload.order = 'cheap'"),
+        ('memory_mb = 200', 'memory_mb = 0', 'limits.memory_mb = 0'),
         ('is_first_start = true', 'is_first_start = 3', 'is_first_start = 3'),
     ],
 )
@@ -73,3 +79,10 @@
     path = tmp_path / 'node.toml'
     path.write_text(_VALID.partition('[overload]')[0])
     assert load(path).unwrap().overload.order == 'priority'
+
+
+def test_settings_without_limits_of_the_vm_are_valid(tmp_path: Path) -> None:
+    # Deployments may render no such section; then there are no such limits.
+    path = tmp_path / 'node.toml'
+    path.write_text(_VALID.partition('[limits]')[0])
+    assert load(path).unwrap().limits == LimitSettings()
