Refuse fewer requests below the allowance after restarts

Cause: a new grantor began with one token, nodes that had not settled admitted nothing, and buckets without a history were full only after 10 s. Change: a new grantor begins with half of the tolerated excess; a node that does not know its peers yet admits one request a team; buckets without a history are full after 7 s, the window and the time to learn of a change.

--- a/bluebellsill/allowances/grantor.py
+++ b/bluebellsill/allowances/grantor.py
@@ -10,6 +10,7 @@
     Grant,
     TokenBucket,
     capacity,
+    spare_tokens,
 )
 
 if TYPE_CHECKING:
@@ -25,10 +26,10 @@
 # do not know of the change yet.
 _TAKEOVER_PERIOD = 3.0
 _TAKEOVER_SHARE = 0.5
-# Seconds after which all nodes know the grantor, so that a team without a bucket
-# has not sent requests for long, and its bucket is full. Before, another node may
-# have granted a whole burst until now.
-_CERTAIN_AFTER = 10.0
+# Seconds after which all nodes have known the grantor for a window of 5 s, so that
+# a team without a bucket has not sent requests in it, and its bucket is full.
+# Before, another node may have granted a whole burst.
+_CERTAIN_AFTER = 7.0
 
 
 @dataclass(slots=True)
@@ -51,8 +52,8 @@
 class Grantor:
     """Holds the token buckets of the teams whose grantor this node is.
 
-    A bucket is kept in memory only. A new grantor begins with a single token,
-    as its predecessor may have granted a whole burst just before.
+    A bucket is kept in memory only. A new grantor begins with what the tolerated
+    excess has room for, as its predecessor may have granted a whole burst.
     """
 
     def __init__(
@@ -118,5 +119,5 @@
     if now - since >= _CERTAIN_AFTER:
         bucket = TokenBucket(allowance, capacity(allowance, share), now)
         return _Held(bucket, since, version, reduced_until=now)
-    bucket = TokenBucket(allowance, 1, now)
+    bucket = TokenBucket(allowance, spare_tokens(allowance), now)
     return _Held(bucket, since, version, reduced_until=now + _TAKEOVER_PERIOD)
--- a/bluebellsill/allowances/step.py
+++ b/bluebellsill/allowances/step.py
@@ -282,9 +282,12 @@
     def _decide_alone(self, one: WaitingRequest, queue: TeamQueue) -> None:
         """Admit a request with the node's own bucket, or refuse it."""
         now = self._timers.clock.now()
-        is_settled = self._population.settled_at(now) is not None
-        known = self._population.known(now)
-        if is_settled and queue.ledger.take_own(known, now):
+        if self._population.settled_at(now) is None:
+            # All nodes may have restarted, and none has granted tokens since.
+            may_run = queue.ledger.take_credit()
+        else:
+            may_run = queue.ledger.take_own(self._population.known(now), now)
+        if may_run:
             self._counts['allowance_admitted_alone'] += 1
             one.on_decided(None)
         else:
--- a/bluebellsill/allowances/token_bucket.py
+++ b/bluebellsill/allowances/token_bucket.py
@@ -8,13 +8,19 @@
 if TYPE_CHECKING:
     from bluebellsill.teams import Allowance
 
-__all__ = ('Grant', 'TokenBucket', 'capacity')
+__all__ = ('Grant', 'TokenBucket', 'capacity', 'spare_tokens')
 
 # Tokens and seconds of the rate that the bucket holds beyond the burst: tokens
 # must not be lost while the next request for them is under way. With the tokens
 # that entry nodes hold, this stays below the excess that is tolerated.
 _EXTRA_TOKENS = 5
 _EXTRA_PERIOD = 0.1
+# What the platform tolerates in a window beyond the rate and the burst: a share
+# of them, and a number of requests.
+_WINDOW = 5.0  # seconds
+_TOLERATED_SHARE = 0.1
+_TOLERATED_REQUESTS = 20
+_SPARE_SHARE = 0.5  # of the tolerated excess; the rest covers tokens in use
 _TOLERANCE = 1e-6  # tokens; below rounding errors of the clock
 _MIN_DELAY = 0.1  # seconds until a node that is denied tokens asks again
 _MAX_DELAY = 1.0
@@ -46,6 +52,17 @@
     return max(1, share * (allowance.burst + extra))
 
 
+def spare_tokens(allowance: Allowance) -> float:
+    """Return the tokens that a bucket of unknown history may begin with.
+
+    The tolerated excess has room for them, even if another node has just
+    granted a whole burst.
+    """
+    full = _WINDOW * allowance.rate + allowance.burst
+    excess = _TOLERATED_SHARE * full + _TOLERATED_REQUESTS
+    return max(1, min(_SPARE_SHARE * excess, capacity(allowance, 1)))
+
+
 class TokenBucket:
     """Grants tokens at a rate that is a share of the team's rate."""
 
--- a/bluebellsill/allowances/token_ledger.py
+++ b/bluebellsill/allowances/token_ledger.py
@@ -45,6 +45,7 @@
         self._arrived_at: float = 0
         self._level = level
         self._level_at: float | None = None
+        self._has_credit = True
 
     def tokens(self, now: float) -> int:
         """Return the number of tokens that have not expired."""
@@ -115,6 +116,12 @@
         self._level -= 1
         return True
 
+    def take_credit(self) -> bool:
+        """Use the one token that a node has before it knows its peers."""
+        has_credit = self._has_credit
+        self._has_credit = False
+        return has_credit
+
     def on_grantor(self) -> None:
         """Stop filling the node's own bucket, as a grantor has answered."""
         self._level_at = None
