--- a/bluebellsill/allowances/step.py
+++ b/bluebellsill/allowances/step.py
@@ -33,9 +33,9 @@
 __all__ = ('AllowanceStep',)
 
 _MAX_TEAMS = 4096  # with a ledger; those not used for longest are dropped
-# Seconds that a request waits for a token request that follows at once, or that
-# a node waits for the grantor's answer.
-_MAX_WAIT = 0.1
+# Seconds that a node waits for the grantor's answer. A node that puts a new
+# document in force is busy for 0.1 to 0.2 s.
+_MAX_WAIT = 0.25
 _CANDIDATES = 2  # nodes that are asked for the tokens of one request
 # Seconds after which to come again while no grantor answers.
 _CUT_OFF_DELAY = 0.25
