Explain where a request would go, from a node's live state

Cause: operators could not see why an entry node refuses a request or prefers a target without sending one, which takes a token and moves the rotations on.

Change: the new package bluebellsill/explain decides what to show: the route, the team and its tokens, the services, the targets in the order of the attempts, and what would be refused at once. It asks the deciding parts through new accessors that change nothing. The choice of targets is made by the router's own rules on a copy of its views, detector, policy and canary share, so that it cannot differ from the real one. A rotation that has not started is not predicted, because its start is drawn at random. The listener of the metrics serves it at /explain.

--- a/bluebellsill/allowances/__init__.py
+++ b/bluebellsill/allowances/__init__.py
@@ -3,5 +3,6 @@
 from __future__ import annotations
 
 from bluebellsill.allowances.assembly import allowance_step
+from bluebellsill.allowances.team_queue import TeamTokens
 
-__all__ = ('allowance_step',)
+__all__ = ('TeamTokens', 'allowance_step')
--- a/bluebellsill/allowances/step.py
+++ b/bluebellsill/allowances/step.py
@@ -9,6 +9,7 @@
 from bluebellsill.allowances.team_queue import (
     MAX_WAITING,
     TeamQueue,
+    TeamTokens,
     WaitingRequest,
 )
 from bluebellsill.allowances.token_ledger import TokenLedger
@@ -27,7 +28,7 @@
     from bluebellsill.filters import InboundRequest
     from bluebellsill.metrics import Metrics
     from bluebellsill.peers import LinkLost, PeerLinks
-    from bluebellsill.teams import Allowance
+    from bluebellsill.teams import Allowance, Team
     from bluebellsill.timers import TimerService
 
 __all__ = ('AllowanceStep',)
@@ -117,6 +118,23 @@
         queue.waiting.append(one)
         self._ask_if_needed(team.name, queue)
 
+    def preview(self, team: Team) -> TeamTokens | None:
+        """Return the tokens of a team here, None before its first request."""
+        queue = self._queues.get(team.name)
+        if queue is None or team.allowance is None:
+            return None
+        now = self._timers.clock.now()
+        ledger = queue.ledger.copy()
+        if ledger.allowance != team.allowance:
+            ledger.change_allowance(team.allowance)
+        return TeamTokens(
+            ledger.tokens(now),
+            max(0, ledger.denied_until - now),
+            len(queue.waiting),
+            is_full=len(queue.waiting) >= MAX_WAITING,
+            has_grantor=not queue.is_cut_off,
+        )
+
     def on_not_run(self, inbound: InboundRequest) -> None:
         """Return the token of a request that has not run."""
         team = inbound.team
--- a/bluebellsill/allowances/team_queue.py
+++ b/bluebellsill/allowances/team_queue.py
@@ -14,7 +14,7 @@
     from bluebellsill.filters import InboundRequest
     from bluebellsill.timers import Timer
 
-__all__ = ('MAX_WAITING', 'TeamQueue', 'WaitingRequest')
+__all__ = ('MAX_WAITING', 'TeamQueue', 'TeamTokens', 'WaitingRequest')
 
 MAX_WAITING = 1000  # requests of one team; more are refused
 _ASK_RATE = 10.0  # token requests a second for one team
@@ -24,6 +24,32 @@
 _TOLERANCE = 1e-6  # token requests; below rounding errors of the clock
 
 
+@dataclass(frozen=True, slots=True)
+class TeamTokens:
+    """The state of a team's allowance at an entry node.
+
+    Attributes:
+        tokens: The tokens held.
+        denied_seconds: For how long requests without a token are refused.
+        waiting: The requests that wait for tokens.
+        is_full: Whether no more requests may wait.
+        has_grantor: Whether a grantor has answered the last token request.
+    """
+
+    tokens: int
+    denied_seconds: float
+    waiting: int
+    is_full: bool
+    has_grantor: bool
+
+    @property
+    def refuses(self) -> bool:
+        """Whether a request would be refused at once."""
+        if self.tokens and not self.waiting:
+            return False
+        return self.denied_seconds > 0 or self.is_full
+
+
 class WaitingRequest:
     """A request that waits for the answer to a token request."""
 
--- a/bluebellsill/allowances/token_ledger.py
+++ b/bluebellsill/allowances/token_ledger.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from copy import copy, deepcopy
 from math import exp
 from typing import TYPE_CHECKING
 
@@ -52,6 +53,12 @@
             self._batches.popleft()
         return int(sum(count for _, count in self._batches))
 
+    def copy(self) -> TokenLedger:
+        """Return a copy that changes independently."""
+        copied = copy(self)
+        copied._batches = deepcopy(self._batches)
+        return copied
+
     def change_allowance(self, allowance: Allowance) -> None:
         """Adopt an allowance; a lower one voids the tokens of the former."""
         is_lower = (
--- a/bluebellsill/balancing_policy.py
+++ b/bluebellsill/balancing_policy.py
@@ -51,6 +51,9 @@
     def pick(self, candidates: list[TargetView], now: float) -> TargetView:
         """Return the target for a call at ``now``, in seconds."""
 
+    def cost(self, view: TargetView, now: float) -> float:
+        """Return what targets are compared by, 0 if by nothing."""
+
 
 class TwoChoices:
     """Compares the next target in the own zone with the next one overall.
@@ -74,6 +77,10 @@
         is_cheaper = second.cost(now) * _MIN_COST_RATIO < first.cost(now)
         return second if is_cheaper else first
 
+    def cost(self, view: TargetView, now: float) -> float:
+        """Return the expected latency of one more call, in seconds."""
+        return view.cost(now)
+
     def _next_local(self, local: list[TargetView]) -> TargetView:
         self._local_index += 1
         return local[self._local_index % len(local)]
@@ -94,6 +101,10 @@
         """Return a random target."""
         return self._random.choice(candidates)
 
+    def cost(self, view: TargetView, now: float) -> float:
+        """Return 0, as all targets are equal."""
+        return 0
+
 
 class RoundRobin:
     """A baseline: chooses the targets in rotation."""
@@ -107,6 +118,10 @@
         self._index += 1
         return candidates[self._index % len(candidates)]
 
+    def cost(self, view: TargetView, now: float) -> float:
+        """Return 0, as all targets are equal."""
+        return 0
+
 
 class LeastReported:
     """A baseline: chooses the target that last reported the least load."""
@@ -122,6 +137,10 @@
             [view for view in candidates if view.other_load == least],
         )
 
+    def cost(self, view: TargetView, now: float) -> float:
+        """Return the last reported load."""
+        return view.other_load
+
 
 class NearestFree:
     """Chooses the target that is expected to complete the call first.
@@ -140,7 +159,7 @@
 
     def pick(self, candidates: list[TargetView], now: float) -> TargetView:
         """Return one of the targets with the lowest cost."""
-        costs = [self._cost(view, now) for view in candidates]
+        costs = [self.cost(view, now) for view in candidates]
         max_cost = min(costs) + _COST_TOLERANCE
         cheapest = [
             view
@@ -150,7 +169,8 @@
         self._index += 1
         return cheapest[self._index % len(cheapest)]
 
-    def _cost(self, view: TargetView, now: float) -> float:
+    def cost(self, view: TargetView, now: float) -> float:
+        """Return the expected time of one more call, in usual service times."""
         load = view.expected_load(now)
         # The wait for a slot, in service times; each frees all slots once.
         wait = max(0, load + 1 - view.limit) / view.limit
--- a/bluebellsill/caller_side.py
+++ b/bluebellsill/caller_side.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from random import Random
 from typing import TYPE_CHECKING
 
 from bluebellsill.allowances import allowance_step
 from bluebellsill.balancing_policy import NearestFree
 from bluebellsill.errors import ErrorKind
+from bluebellsill.explain import Explainer
 from bluebellsill.gateway import Gateway
 from bluebellsill.http_server import HttpServer
 from bluebellsill.platform.headers import CALLER_HEADERS
@@ -20,8 +22,6 @@
 from bluebellsill.weighted_round_robin import WeightedRoundRobin
 
 if TYPE_CHECKING:
-    from random import Random
-
     from bluebellsill.http import Request
     from bluebellsill.http_server import Reply
     from bluebellsill.mesh_settings import BoundSettings, MeshSettings
@@ -44,6 +44,7 @@
     Attributes:
         gateway: Serves the requests.
         server: The HTTP server that accepts them.
+        explainer: Tells what would be done with a request.
         bounds: The platform's limits, from which the retry budgets are
             computed.
         is_draining: Whether every new request of a caller is refused.
@@ -102,6 +103,12 @@
             self._retry_budget,
             versions,
         )
+        step = allowance_step(
+            peers,
+            lambda: state.plan.version if state.plan else 0,
+            random,
+            metrics,
+        )
         self.gateway = Gateway(
             members.own.id,
             self._interface,
@@ -110,12 +117,18 @@
             self._runner,
             metrics,
             avoids_queues=True,
-            entry_step=allowance_step(
-                peers,
-                lambda: state.plan.version if state.plan else 0,
-                random,
-                metrics,
+            entry_step=step,
+        )
+        self.explainer = Explainer(
+            state,
+            self._interface,
+            step,
+            lambda service: placement.preview(
+                service, NearestFree(Random(0), members.own.zone)
             ),
+            lambda: self.gateway.lookup,
+            lambda: self.is_draining,
+            self._clock,
         )
         self.server = HttpServer(
             reactor,
--- a/bluebellsill/mesh_node.py
+++ b/bluebellsill/mesh_node.py
@@ -27,6 +27,7 @@
 from bluebellsill.operator_state import OperatorState
 from bluebellsill.peer_stack import PeerStack
 from bluebellsill.platform.endpoints import (
+    ExplainApi,
     MetricsApi,
     ReadyApi,
 )
@@ -274,7 +275,9 @@
         self._metrics_server = HttpServer(
             self._reactor,
             Address.parse(settings.listen.metrics),
-            MetricsApi(self._metrics).handle,
+            MetricsApi(
+                self._metrics, ExplainApi(self._caller_side.explainer)
+            ).handle,
         )
 
     def _build_gauges(self) -> None:
--- a/bluebellsill/platform/endpoints.py
+++ b/bluebellsill/platform/endpoints.py
@@ -6,6 +6,7 @@
 from importlib import import_module
 from time import time
 from typing import TYPE_CHECKING, Annotated, Literal
+from urllib.parse import parse_qs
 
 from msgspec import Meta, Struct
 from result import Err
@@ -14,18 +15,24 @@
 from bluebellsill.decoding import WireInteger, decode_json
 from bluebellsill.http import Request, Response, json_response
 from bluebellsill.logs import get_logger
+from bluebellsill.platform.headers import CREDENTIALS
 from bluebellsill.target_reports import Departure, TargetReport
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from bluebellsill.explain import Explainer
     from bluebellsill.http_server import Reply
     from bluebellsill.metrics import Metrics
 
 __all__ = (
+    'EXPLAIN_PATH',
+    'HOST_FIELD',
     'METRICS_PATH',
+    'PATH_FIELD',
     'READY_PATH',
     'REPORT_PREFIX',
+    'ExplainApi',
     'Info',
     'MetricsApi',
     'ReadyApi',
@@ -34,9 +41,15 @@
     'TargetReportApi',
 )
 
+EXPLAIN_PATH = '/explain'
 METRICS_PATH = '/metrics'
 READY_PATH = '/ready'
 REPORT_PREFIX = '/instances/'
+# Fields of the query of an explanation; the key is in a header, because queries
+# get into histories and logs.
+HOST_FIELD = 'host'
+PATH_FIELD = 'path'
+_MAX_QUERY_FIELDS = 8  # more than are known
 _MS_PER_SECOND = 1000
 _MAX_SLOTS = 100000  # more than any server has; rejects corrupt reports
 _MAX_COLD_MS = 3_600_000  # an hour; rejects corrupt reports
@@ -183,15 +196,52 @@
             reply.send(Response(HTTPStatus.NOT_FOUND))
 
 
+class ExplainApi:
+    """Tells what the node would do with a request, as JSON."""
+
+    def __init__(self, explainer: Explainer) -> None:
+        """Create an API that asks an explainer."""
+        self._explainer = explainer
+
+    def handle(self, request: Request, reply: Reply) -> None:
+        """Respond with the explanation of the request in the query."""
+        if request.method != 'GET':
+            reply.send(Response(HTTPStatus.METHOD_NOT_ALLOWED))
+            return
+        host, path = _explained(request.path.partition('?')[2])
+        if not host or not path.startswith('/'):
+            reason = f'{HOST_FIELD} and {PATH_FIELD} are required'
+            reply.send(
+                json_response(HTTPStatus.BAD_REQUEST, {'reason': reason})
+            )
+            return
+        keys = [pair for pair in request.headers if pair[0] == CREDENTIALS]
+        explained = Request('GET', path, [('host', host), *keys])
+        explanation = self._explainer.explain(explained)
+        reply.send(json_response(HTTPStatus.OK, explanation))
+
+
 class MetricsApi:
-    """Serves the metrics in the Prometheus text format."""
+    """Serves the metrics in the Prometheus text format, and explanations."""
 
-    def __init__(self, metrics: Metrics) -> None:
-        """Create an API that serves the metrics of one node."""
+    def __init__(
+        self, metrics: Metrics, explain_api: ExplainApi | None = None
+    ) -> None:
+        """Create an API that serves the metrics of one node.
+
+        Args:
+            metrics: The metrics.
+            explain_api: Serves explanations; None without them.
+        """
         self._metrics = metrics
+        self._explain_api = explain_api
 
     def handle(self, request: Request, reply: Reply) -> None:
-        """Respond with all metrics."""
+        """Respond with all metrics, or with an explanation."""
+        path = request.path.partition('?')[0]
+        if path == EXPLAIN_PATH and self._explain_api is not None:
+            self._explain_api.handle(request, reply)
+            return
         if request.path != METRICS_PATH:
             reply.send(Response(HTTPStatus.NOT_FOUND))
             return
@@ -199,6 +249,18 @@
         reply.send(Response(HTTPStatus.OK, [_CONTENT_TYPE], body))
 
 
+def _explained(query: str) -> tuple[str, str]:
+    """Return the host and the path in a query, empty if they are absent."""
+    try:
+        fields = parse_qs(
+            query, encoding='latin-1', max_num_fields=_MAX_QUERY_FIELDS
+        )
+    except ValueError:
+        return '', ''
+    host = fields.get(HOST_FIELD, [''])[0]
+    return host, fields.get(PATH_FIELD, [''])[0]
+
+
 def _render(metrics: Metrics) -> bytes:
     """Return the metrics in the Prometheus text format.
 
--- a/bluebellsill/platform/headers.py
+++ b/bluebellsill/platform/headers.py
@@ -16,6 +16,7 @@
     'NOT_RUN',
     'RATE_LIMIT',
     'REQUEST_ID',
+    'SCHEME',
     'STAMP',
     'STORE_EPOCH',
     'TARGET_NAME',
@@ -29,7 +30,7 @@
 CALLER_SERVICE = 'bluebellsill-caller-service'
 # A client's key, after the name of the scheme.
 CREDENTIALS = 'authorization'
-_SCHEME = 'Token'
+SCHEME = 'Token'
 # The name of the team whose key a request carried; only nodes set it.
 TEAM = 'bluebellsill-tenant-id'
 # The name of the target that a request is addressed to.
@@ -60,7 +61,7 @@
     deadline=DEADLINE,
     calling_service=CALLER_SERVICE,
     credentials=CREDENTIALS,
-    scheme=_SCHEME,
+    scheme=SCHEME,
     team=TEAM,
     reserved=frozenset((EXPECTED_TARGET,)),
     # A target's own calls append to the id of the request that it processes.
--- a/bluebellsill/route_interface.py
+++ b/bluebellsill/route_interface.py
@@ -79,6 +79,22 @@
 
     def apply(self, inbound: InboundRequest) -> Result[None, Problem]:
         """Set the route and the service; refuse a request without a route."""
+        matched = self._match(inbound)
+        if isinstance(matched, Ok):
+            inbound.service_name = self._round_robin.next(inbound.route)
+        return matched
+
+    def preview(self, inbound: InboundRequest) -> Result[None, Problem]:
+        """Do the same without moving a rotation on.
+
+        The service stays empty if it is not determined before the request.
+        """
+        matched = self._match(inbound)
+        if isinstance(matched, Ok):
+            inbound.service_name = self._round_robin.peek(inbound.route) or ''
+        return matched
+
+    def _match(self, inbound: InboundRequest) -> Result[None, Problem]:
         plan = self._state.plan
         if plan is None:
             message = 'this node has no routes yet'
@@ -93,7 +109,6 @@
             )
             return Err(Problem(ErrorKind.UNKNOWN_ROUTE, message))
         inbound.route = route
-        inbound.service_name = self._round_robin.next(route)
         inbound.tenant = inbound.caller
         return Ok(None)
 
@@ -125,14 +140,16 @@
             may_run_unknown: Returns whether the local target may run requests
                 that this node does not know; None if it never does.
         """
+        self._route_filter = RouteFilter(state, round_robin)
+        self._team_filter = TeamFilter(
+            state,
+            names.credentials,
+            names.scheme.lower(),
+            self._may_be_nested,
+        )
         self.filters: Sequence[Filter] = (
-            RouteFilter(state, round_robin),
-            TeamFilter(
-                state,
-                names.credentials,
-                names.scheme.lower(),
-                self._may_be_nested,
-            ),
+            self._route_filter,
+            self._team_filter,
             DeadlineFilter(clock.now, names.deadline),
             QuarantineFilter(quarantine, clock.now),
         )
@@ -177,6 +194,13 @@
             own_id.startswith(f'{parent}{separator}') for parent in running_ids
         )
 
+    def preview(self, inbound: InboundRequest) -> Result[None, Problem]:
+        """Find the route, the service and the team without changing state."""
+        matched = self._route_filter.preview(inbound)
+        if isinstance(matched, Err):
+            return matched
+        return self._team_filter.apply(inbound)
+
     def forwarded_headers(self, inbound: InboundRequest) -> Headers:
         """Return the headers to forward, with those that the node sets."""
         kept = [
--- a/bluebellsill/router_registry.py
+++ b/bluebellsill/router_registry.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from copy import copy
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
 from bluebellsill.membership import MemberState
@@ -19,6 +21,7 @@
 __all__ = (
     'OperatorExclusions',
     'RouterRegistry',
+    'RoutingPreview',
     'ServiceRouting',
     'VersionRules',
     'VersionTraffic',
@@ -81,6 +84,26 @@
         self.traffic: VersionTraffic | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class RoutingPreview:
+    """How calls for a service would be routed now.
+
+    Attributes:
+        router: A copy of the router; its choices change no state of the node.
+        is_started: Whether the service had a call at this node. The rotation
+            starts at a random target for the first one.
+        members: The nodes of the service's targets.
+        available_ids: The nodes whose target is ready and in service.
+        versioned_ids: Those of them whose target's version gets calls.
+    """
+
+    router: Router
+    is_started: bool
+    members: list[Member]
+    available_ids: frozenset[str]
+    versioned_ids: frozenset[str]
+
+
 class RouterRegistry:
     """Keeps the router of each service in line with members and operators."""
 
@@ -130,6 +153,40 @@
             self._update(service, routing)
         return routing
 
+    def preview(
+        self, service: str, first_policy: BalancingPolicy
+    ) -> RoutingPreview:
+        """Return how calls for a service would be routed, changing nothing.
+
+        Args:
+            service: The service.
+            first_policy: Used if the service had no call yet; to create its own
+                policy would draw from the random source of the node.
+        """
+        own = self._members.own
+        routing = self._routing_by_service.get(service)
+        router = (
+            Router(own.id, own.zone, first_policy)
+            if routing is None
+            else routing.router.copy()
+        )
+        targets = self._available_targets(service)
+        available_ids = frozenset(one.id for one in targets)
+        canaries: list[Member] = []
+        versions = self._versions
+        traffic = copy(versions.of_service(service)) if versions else None
+        if traffic is not None:
+            targets, canaries = traffic.split(targets)
+        if routing is None or not routing.is_current:
+            router.update(targets, canaries, traffic)
+        return RoutingPreview(
+            router,
+            routing is not None,
+            self._members.of_service(service),
+            available_ids,
+            frozenset(one.id for one in (*targets, *canaries)),
+        )
+
     def _update(self, service: str, routing: ServiceRouting) -> None:
         targets = self._available_targets(service)
         versions = self._versions
--- a/bluebellsill/routing.py
+++ b/bluebellsill/routing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from copy import copy
 from typing import TYPE_CHECKING, Protocol
 
 from bluebellsill.outlier_detection import OutlierDetector
@@ -86,6 +87,24 @@
             for one in chosen
         }
 
+    def copy(self) -> Router:
+        """Return a copy whose choices change nothing in this router.
+
+        It makes the same choices as this one would; the notes are shared.
+        """
+        copied = copy(self)
+        copied.views_by_id = {
+            view.id: view.copy() for view in self.views_by_id.values()
+        }
+        copied.outlier_detector = copy(self.outlier_detector)
+        copied._policy = copy(self._policy)
+        copied._choice = copy(self._choice)
+        return copied
+
+    def cost(self, view: TargetView, now: float) -> float:
+        """Return what the policy compares targets by."""
+        return self._policy.cost(view, now)
+
     def choose(self, tried: Collection[str], now: float) -> TargetView | None:
         """Choose the target for a call.
 
--- a/bluebellsill/target_view.py
+++ b/bluebellsill/target_view.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from math import exp
 
 from bluebellsill.backoff import exponential_backoff
@@ -76,6 +76,10 @@
     answer_count: int = 0
     last_trial_call: int = 0
 
+    def copy(self) -> TargetView:
+        """Return a copy that changes independently."""
+        return replace(self, call_start_times=self.call_start_times.copy())
+
     def cost(self, now: float) -> float:
         """Return the expected latency of one more call, in seconds."""
         load = self.expected_load(now)
--- a/bluebellsill/teams/confirmed_lookup.py
+++ b/bluebellsill/teams/confirmed_lookup.py
@@ -98,6 +98,12 @@
             kind is ErrorKind.UNAUTHORIZED and bool(inbound.unknown_key)
         )
 
+    def is_stale(self, inbound: InboundRequest) -> bool:
+        """Return whether this node cannot know that a key is wrong."""
+        return bool(inbound.unknown_key) and (
+            self._view.seconds > _MAX_VIEW_AGE
+        )
+
     def settle(
         self,
         inbound: InboundRequest,
@@ -118,7 +124,7 @@
         is_full = len(self._waiting) >= _MAX_WAITING
         if is_full:
             self._metrics.counts['lookups_turned_away'] += 1
-        if is_full or self._is_stale(inbound):
+        if is_full or self.is_stale(inbound):
             self._finish(inbound, outcome, on_settled)
             return
         self._metrics.counts['lookups_waited'] += 1
@@ -190,19 +196,13 @@
         outcome: _Outcome,
         on_settled: Callable[[_Outcome], None],
     ) -> None:
-        if self.may_change(inbound, outcome) and self._is_stale(inbound):
+        if self.may_change(inbound, outcome) and self.is_stale(inbound):
             age = self._view.seconds
             message = f'the key is unknown, and this view is {age:.1f} s old'
             outcome = Err(Problem(ErrorKind.STALE, message))
         inbound.unknown_key = ''
         on_settled(outcome)
 
-    def _is_stale(self, inbound: InboundRequest) -> bool:
-        """Whether this node cannot know that a key is wrong."""
-        return bool(inbound.unknown_key) and (
-            self._view.seconds > _MAX_VIEW_AGE
-        )
-
     def _remove(self, waiting: _Waiting) -> None:
         self._waiting.remove(waiting)
         waiting.timer.cancel()
--- a/bluebellsill/weighted_round_robin.py
+++ b/bluebellsill/weighted_round_robin.py
@@ -43,6 +43,19 @@
             self._credit_by_split[split] = credit
         return parts[self._select_next(parts, credit)].service
 
+    def peek(self, route: Route) -> str | None:
+        """Return what ``next`` would return, without moving on.
+
+        None if the rotation has not started: its start is drawn at random.
+        """
+        parts = route.weighted_services
+        if len(parts) == 1:
+            return parts[0].service
+        credit = self._credit_by_split.get((route.name, parts))
+        if credit is None:
+            return None
+        return parts[self._select_next(parts, credit.copy())].service
+
     def retain(self, splits: Collection[Split]) -> None:
         """Forget the rotations of all other routes.
 
