Add bluebellsillctl explain

Cause: the explanation of a node could be read with an HTTP client only, and a key in its command line would be visible to other users.

Change: the command reads the key from BLUEBELLSILL_KEY or from a prompt and sends it in the header. A key that a header cannot carry is refused before the HTTP library sees it, which would quote it. The exit codes are those of the other commands, which now share their base class with it.

--- a/bluebellsill/ctl_command.py
+++ b/bluebellsill/ctl_command.py
@@ -4,6 +4,7 @@
 
 import os
 import sys
+from getpass import getpass
 from typing import Any
 
 from cleo.application import Application
@@ -13,6 +14,7 @@
 
 from bluebellsill import __version__
 from bluebellsill.operator_client import ApiError, OperatorClient
+from bluebellsill.platform.explain_client import fetch_explanation
 from bluebellsill.resource_file import (
     KIND_NAMES,
     UsageError,
@@ -30,6 +32,8 @@
 
 _NODE_VARIABLE = 'BLUEBELLSILL_NODE'
 _TOKEN_VARIABLE = 'BLUEBELLSILL_TOKEN'  # noqa: S105
+_METRICS_VARIABLE = 'BLUEBELLSILL_METRICS'
+_KEY_VARIABLE = 'BLUEBELLSILL_KEY'
 _EXIT_CODES_BY_ERROR_KIND = {
     'unreachable': EXIT_UNREACHABLE,
     'rolling_out': EXIT_LAGGING,
@@ -39,12 +43,41 @@
 Exit codes: 0 success, 1 refused by the node, 2 invalid arguments or file,
 3 the node cannot be reached, 4 not in force everywhere in time.
 """
+_EXPLAIN_HELP = f"""\
+The key of a team is read from ${_KEY_VARIABLE}, else from a prompt if the input
+is a terminal; no argument takes it.
+{_HELP}"""
 
 
-class _ApiCommand(Command):
-    """A command that sends requests to the resource API of a node."""
+class _NodeCommand(Command):
+    """A command that sends requests to a node."""
 
     help = _HELP
+
+    def handle(self) -> int:
+        """Run the command and convert errors to exit codes."""
+        try:
+            return self.run_command()
+        except UsageError as error:
+            self.line_error(str(error))
+            return EXIT_USAGE
+        except ApiError as error:
+            self.line_error(str(error))
+            return _EXIT_CODES_BY_ERROR_KIND.get(error.kind, EXIT_REFUSED)
+
+    def run_command(self) -> int:
+        """Run the command and return its exit code."""
+        raise AssertionError('run_command is not implemented')
+
+    def print_json(self, document: object) -> None:
+        """Print a document as JSON."""
+        text = json.format(json.encode(document), indent=2).decode()
+        sys.stdout.write(f'{text}\n')
+
+
+class _ApiCommand(_NodeCommand):
+    """A command that sends requests to the resource API of a node."""
+
     options = [
         option(
             'node',
@@ -60,26 +93,14 @@
         ),
     ]
 
-    def handle(self) -> int:
-        """Run the command and convert errors to exit codes."""
-        try:
-            return self.run_with_client(self._client())
-        except UsageError as error:
-            self.line_error(str(error))
-            return EXIT_USAGE
-        except ApiError as error:
-            self.line_error(str(error))
-            return _EXIT_CODES_BY_ERROR_KIND.get(error.kind, EXIT_REFUSED)
+    def run_command(self) -> int:
+        """Run the command with a client of the API."""
+        return self.run_with_client(self._client())
 
     def run_with_client(self, client: OperatorClient) -> int:
         """Run the command and return its exit code."""
         raise AssertionError('run_with_client is not implemented')
 
-    def print_json(self, document: object) -> None:
-        """Print a document as JSON."""
-        text = json.format(json.encode(document), indent=2).decode()
-        sys.stdout.write(f'{text}\n')
-
     def wait(self, client: OperatorClient, revision: int) -> int:
         """Wait until a revision is in force everywhere."""
         seconds = float(self.option('timeout'))
@@ -279,6 +300,51 @@
         return 0
 
 
+class _ExplainCommand(_NodeCommand):
+    name = 'explain'
+    description = 'Show where a request would go now, without sending it.'
+    help = _EXPLAIN_HELP
+    arguments = [
+        argument('host', 'The host of the request.'),
+        argument('path', 'Its path.'),
+    ]
+    options = [
+        option(
+            'metrics',
+            None,
+            "Address of the entry node's metrics;"
+            f' default: ${_METRICS_VARIABLE}.',
+            flag=False,
+        ),
+    ]
+
+    def run_command(self) -> int:
+        """Print the explanation of the node."""
+        address = self.option('metrics') or os.environ.get(_METRICS_VARIABLE)
+        if not address:
+            raise UsageError('--metrics is required')
+        host, path = self.argument('host'), self.argument('path')
+        if not path.startswith('/'):
+            raise UsageError(f'{path!r} is not a path')
+        try:
+            explanation = fetch_explanation(address, host, path, _read_key())
+        except ValueError as error:
+            raise UsageError(str(error)) from error
+        self.print_json(explanation)
+        return 0
+
+
+def _read_key() -> str:
+    """Return the key of a team, empty for none.
+
+    It is never an argument, because other users can read those.
+    """
+    key = os.environ.get(_KEY_VARIABLE)
+    if key is None and sys.stdin.isatty():
+        key = getpass('Key (empty for none): ')
+    return key or ''
+
+
 def _describe_zone(zone: dict[str, Any] | None) -> str:
     if zone is None:
         return 'no reader answered'
@@ -301,6 +367,7 @@
         _ReturnCommand,
         _ShiftCommand,
         _StatusCommand,
+        _ExplainCommand,
     ):
         application.add(command())
     application.run()
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -9,6 +9,7 @@
 import pytest
 from msgspec import json
 
+from bluebellsill import ctl_command
 from bluebellsill.allowances import TeamTokens
 from bluebellsill.balancing_policy import NearestFree
 from bluebellsill.clock import ManualClock
@@ -22,6 +23,7 @@
 from bluebellsill.metrics import Metrics
 from bluebellsill.operator_state import OperatorState
 from bluebellsill.platform.endpoints import ExplainApi, MetricsApi
+from bluebellsill.platform.explain_client import fetch_explanation
 from bluebellsill.platform.headers import CALLER_HEADERS, CREDENTIALS
 from bluebellsill.platform.routing_document import decode_plan
 from bluebellsill.quarantine import Quarantine
@@ -255,6 +257,25 @@
     assert len(first_nodes) >= 4
 
 
+def test_trial_of_a_slow_target_is_told_and_left_to_the_request(
+    world: _World,
+) -> None:
+    """An explanation that takes the trial delays the end of an exclusion."""
+    world.route('/shop/x', 1)
+    for view in world.registry.of_service('shop').router.views_by_id.values():
+        view.answer_count = 5
+        view.relative_latency = 10 if view.id == '10.0.0.4:1' else 1
+        view.relative_latency_at = world.clock.now()
+    assert _order(world.explain())[-1] == '10.0.0.4:1'
+    world.clock.advance(20)
+    before = _snapshot(world)
+    for _ in range(2):
+        assert _order(world.explain())[0] == '10.0.0.4:1'
+    assert _snapshot(world) == before
+    assert world.route('/shop/x', 1)[1] == ['10.0.0.4:1']
+    assert _order(world.explain())[0] != '10.0.0.4:1'
+
+
 def test_targets_that_are_not_in_the_router_yet_are_explained_as_they_will_be(
     world: _World,
 ) -> None:
@@ -490,3 +511,35 @@
     assert vars(queue.ledger) == before
     assert peer.step.preview(Team('unseen', 0, allowance)) is None
     assert peer.step.preview(Team(team.name)) is None
+
+
+@pytest.mark.parametrize(
+    ('stated', 'is_terminal', 'expected'),
+    [
+        (_KEY, True, _KEY),
+        ('', True, ''),
+        (None, True, 'typed'),
+        # A prompt would block a script, or take its input for a key.
+        (None, False, ''),
+    ],
+)
+def test_key_comes_from_the_environment_or_a_prompt(
+    monkeypatch: pytest.MonkeyPatch,
+    stated: str | None,
+    is_terminal: bool,
+    expected: str,
+) -> None:
+    monkeypatch.delenv('BLUEBELLSILL_KEY', raising=False)
+    if stated is not None:
+        monkeypatch.setenv('BLUEBELLSILL_KEY', stated)
+    monkeypatch.setattr(ctl_command, 'getpass', lambda _: 'typed')
+    monkeypatch.setattr('sys.stdin.isatty', lambda: is_terminal, raising=False)
+    assert ctl_command._read_key() == expected
+
+
+def test_malformed_key_is_not_shown() -> None:
+    """The HTTP library quotes a header that it refuses."""
+    for key in (f'{_KEY}\r\nx: y', f'{_KEY}\udc80'):
+        with pytest.raises(ValueError, match='the key has') as caught:
+            fetch_explanation('127.0.0.1:1', HOST, '/shop/x', key)
+        assert _KEY not in str(caught.value)
