Treat responses with an invalid status as malformed

Cause: the reader of responses took a status below 100 for an interim response and waited for another one until the request timed out, and passed statuses above 599 on to the client. An interim status above 103 that states a body swallowed the start of the final response. Change: HttpPool, which reads the responses of targets, the store and probes, closes the connection at such a head; the request fails like at any malformed response. Entry nodes do not pass on such a status from nodes or key records of an earlier version. The stand-in target can send any status.

--- a/bluebellsill/http.py
+++ b/bluebellsill/http.py
@@ -19,6 +19,7 @@
     'Response',
     'end_to_end_headers',
     'find_header',
+    'is_final_status',
     'json_response',
     'problem_response',
 )
@@ -42,6 +43,7 @@
         'expect',
     )
 )
+_MAX_STATUS = 599
 _REASON_PHRASES = {status.value: status.phrase for status in HTTPStatus}
 
 
@@ -163,6 +165,11 @@
     return Response(status, headers, json.encode(document))
 
 
+def is_final_status(status: int) -> bool:
+    """Return whether a complete response may have a status."""
+    return HTTPStatus.OK <= status <= _MAX_STATUS
+
+
 def find_header(headers: Headers, name: str) -> str:
     """Return the first value of a header, or an empty string if absent."""
     for header_name, text in headers:
--- a/bluebellsill/http_client.py
+++ b/bluebellsill/http_client.py
@@ -10,7 +10,13 @@
 from result import Err, Ok, Result
 
 from bluebellsill.decoding import parse_whole_number
-from bluebellsill.http import MAX_BODY, Headers, Request, Response
+from bluebellsill.http import (
+    MAX_BODY,
+    Headers,
+    Request,
+    Response,
+    is_final_status,
+)
 from bluebellsill.http_exchange import Exchange, HttpFailure, ResponseRules
 from bluebellsill.idle_limit import IdleLimit
 from bluebellsill.response_limit import ResponseLimit
@@ -33,9 +39,16 @@
 _MAX_EXTENSION = 30
 _MAX_ANSWERED_IDS = 64  # of a connection; more than one call's attempts
 _BODYLESS = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
+# The parser reads a body after the heads of interim responses above this one
+# if they state a length, and would take the final response for it.
+_LAST_BODILESS_INTERIM = HTTPStatus.EARLY_HINTS
 _NO_RULES = ResponseRules()
 
 
+class _StatusError(ValueError):
+    """A response has a status that no valid response has there."""
+
+
 class HttpPool:
     """Sends requests to one server over persistent connections."""
 
@@ -197,6 +210,8 @@
         self._request_size = 0  # bytes
         self._exchange: Exchange | None = None
         self._reset()
+        # The parser of the bytes that are being read.
+        self._fed_parser = self._parser
         self.stream = Stream.connect(pool.reactor, pool.address, self)
 
     def start(self, exchange: Exchange, request: Request) -> None:
@@ -229,10 +244,13 @@
             return
         exchange.received_at = self._pool.reactor.timers.clock.now()
         self._has_body_part = False
+        self._fed_parser = self._parser
         try:
-            self._parser.feed_data(chunk)
+            self._fed_parser.feed_data(chunk)
         except HttpParserError as error:
-            self.stream.lose(f'malformed response: {error}')
+            # The parser wraps the errors of callbacks.
+            cause = error.__context__ or error
+            self.stream.lose(f'malformed response: {cause}')
             return
         except HttpParserUpgrade:
             self.stream.lose('response switches to another protocol')
@@ -280,23 +298,16 @@
         self._headers.append((lower, text.decode('latin-1')))
 
     def on_headers_complete(self) -> None:
-        """Reject a response whose body has no length that can be determined."""
-        status = self._parser.get_status_code()
-        if status < HTTPStatus.OK:
+        """Reject an invalid status, or a body of unknown length."""
+        if self._fed_parser is not self._parser:
+            # Bytes behind a complete response whose callback has sent the next
+            # request; the new parser has no status yet.
             return
-        exchange = self._exchange
-        is_bodyless = status in _BODYLESS or (exchange and exchange.is_head)
-        if not is_bodyless:
-            self._check_size(self._length)
-        if not self._has_length and not is_bodyless:
-            if self._pool.rules.allows_body_until_close:
-                self._ends_with_connection = True
-            else:
-                self._schedule_failure(
-                    'response has neither content-length nor transfer-encoding'
-                )
-        elif exchange is not None and exchange.is_head:
-            self._complete()
+        status = self._parser.get_status_code()
+        if is_final_status(status):
+            self._on_final_head(status)
+        else:
+            self._check_interim(status)
 
     def on_body(self, chunk: bytes) -> None:
         """Store a part of the body."""
@@ -312,6 +323,21 @@
         else:
             self._complete()
 
+    def _on_final_head(self, status: int) -> None:
+        exchange = self._exchange
+        is_bodyless = status in _BODYLESS or (exchange and exchange.is_head)
+        if not is_bodyless:
+            self._check_size(self._length)
+        if not self._has_length and not is_bodyless:
+            if self._pool.rules.allows_body_until_close:
+                self._ends_with_connection = True
+            else:
+                self._schedule_failure(
+                    'response has neither content-length nor transfer-encoding'
+                )
+        elif exchange is not None and exchange.is_head:
+            self._complete()
+
     def _complete(self) -> None:
         exchange = self._exchange
         self._exchange = None
@@ -369,6 +395,12 @@
             bytes(self._body),
         )
 
+    def _check_interim(self, status: int) -> None:
+        if not HTTPStatus.CONTINUE <= status < HTTPStatus.OK:
+            raise _StatusError(f'status {status:03}')
+        if self._has_length and status > _LAST_BODILESS_INTERIM:
+            raise _StatusError(f'interim status {status} with a body')
+
     def _check_size(self, size: int) -> None:
         if size > MAX_BODY and not self._is_too_large:
             self._is_too_large = True
--- a/bluebellsill/keyed_call.py
+++ b/bluebellsill/keyed_call.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from bluebellsill.errors import ErrorKind, Problem, RunStatus
-from bluebellsill.http import Response
+from bluebellsill.http import Response, is_final_status
 from bluebellsill.idempotency import ClaimState, Outcome
 from bluebellsill.messages import Claim, ClaimReply, Settle
 from bluebellsill.peers import LinkLost
@@ -153,6 +153,12 @@
             self._is_certain |= state is ClaimState.GRANTED
             self._granted.append(holder)
             self._on_granted()
+        elif state is ClaimState.COMPLETED and not is_final_status(
+            reply.status
+        ):
+            # A node of an earlier version has recorded such an answer.
+            message = f'the recorded answer has status {reply.status}'
+            self._refuse(Problem(ErrorKind.OUTCOME_UNKNOWN, message))
         elif state is ClaimState.COMPLETED:
             self._release()
             headers = [*reply.headers, ('idempotency-replayed', 'true')]
--- a/bluebellsill/outbound_call.py
+++ b/bluebellsill/outbound_call.py
@@ -7,7 +7,7 @@
 
 from bluebellsill.dispatch import Attempt, Dispatch
 from bluebellsill.errors import ErrorKind, Problem
-from bluebellsill.http import Headers, Response
+from bluebellsill.http import Headers, Response, is_final_status
 from bluebellsill.logs import get_logger
 from bluebellsill.messages import Answer, Call, Failure, Refusal
 from bluebellsill.peers import LinkLost
@@ -227,6 +227,13 @@
         )
 
     def _on_answer(self, answer: Answer) -> None:
+        if not is_final_status(answer.status):
+            # A node of an earlier version passes such answers on.
+            self._count_outcome(has_failed=True)
+            message = f'target of {self.node_id} sent status {answer.status}'
+            kind = ErrorKind.TARGET_FAILED
+            self._apply(self.dispatch.on_failure(kind, message))
+            return
         if not answer.has_failed_below:
             self._count_outcome(
                 has_failed=answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
--- a/bluebellsill/standins/mesh_target.py
+++ b/bluebellsill/standins/mesh_target.py
@@ -40,6 +40,7 @@
     TARGET_NAME,
 )
 from bluebellsill.reactor import Reactor
+from bluebellsill.standins.status_text import StatusTextResponse
 from bluebellsill.streams import Address
 from bluebellsill.timers import TimerService
 
@@ -109,6 +110,8 @@
         works_on: Whether runs go on when their connection is closed, until
             their deadline.
         records_headers: Whether the log of runs has all headers received.
+        status_text: What responses to requests have in place of the status,
+            empty for the status itself.
     """
 
     slowness: float = 1
@@ -122,6 +125,7 @@
     hangs_when_full: bool = False
     works_on: bool = False
     records_headers: bool = False
+    status_text: str = ''
 
 
 @dataclass(slots=True, eq=False)
@@ -382,7 +386,14 @@
         document = {'id': job.request.header(REQUEST_ID), 'by': self._name}
         headers = [self._load(), self._id(job), (STAMP, self._name)]
         headers += self._directive()
-        job.reply.send(Response(status, headers, json.encode(document)))
+        body = json.encode(document)
+        status_text = self._behaviour.status_text
+        response = (
+            StatusTextResponse(status_text, headers, body)
+            if status_text
+            else Response(status, headers, body)
+        )
+        job.reply.send(response)
         self._release_slot(job)
 
     def _abandon(self, job: _Job) -> None:
