Let the soak declare teams and change their keys under load

Cause: the soak had no teams, so no randomized run covered keys under faults. Callers use kept, added, removed and unknown keys on open connections and forge the team's header. The stand-in target writes the headers of each run to its ledger. New checks: no target receives a key, the team's header is that of the key, an unknown key never runs, a removed one runs nothing after 2.5 s on nodes that reach the store, a kept one is never refused as unauthorized.

--- a/bluebellsill/standins/mesh_target.py
+++ b/bluebellsill/standins/mesh_target.py
@@ -335,6 +335,7 @@
                 # When the stated rate limit was set, 0 without one.
                 'limited_since': self._limited_since,
                 'rate_limit': self._behaviour.rate_limit,
+                'headers': request.headers,
             },
         )
         with Path(settings.ledger).open('ab') as ledger:
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -16,15 +16,20 @@
     RATE_LIMIT,
     REQUEST_ID,
     STAMP,
+    TEAM,
 )
 from demo.mesh_harness import HOST
+from tests.soak.teams import Key
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from demo.mesh_harness import MeshDeployment, Vm
 
 _PAUSE = 0.02  # seconds between the calls of one caller
 _DEADLINE = 2.0  # seconds, sent with every request
 _MAX_CALLS = 20  # on one connection
+_FORGED_TEAM = 'forged'  # callers may not state their team
 _CONNECTION_ERRORS = (ConnectionError, http.client.HTTPException, OSError)
 
 
@@ -36,6 +41,7 @@
         by: The target that responded, empty for the node's own responses.
         states_rate: Whether the target stated a rate limit.
         states_leaving: Whether the target stated that it leaves.
+        key: The key that was sent.
     """
 
     name: str
@@ -48,6 +54,7 @@
     by: str = ''
     states_rate: bool = False
     states_leaving: bool = False
+    key: Key = Key()
 
 
 class Caller:
@@ -59,11 +66,15 @@
         prefix: str,
         seed: int,
         is_over: Event,
+        pick_key: Callable[[Random], Key],
     ) -> None:
         self.calls: list[CallRecord] = []
         self._deployment = deployment
         self._prefix = prefix
         self._random = Random(seed)
+        # Separate, so that a seed's calls are the same with and without teams.
+        self._key_random = Random(seed)
+        self._pick_key = pick_key
         self._is_over = is_over
         self._thread = Thread(target=self._run)
 
@@ -103,7 +114,10 @@
         service = 'pay' if is_payment else 'shop'
         name = f'{self._prefix}n{len(self.calls)}'
         work = self._random.choice([1, 20, 100])
+        key = self._pick_key(self._key_random)
         headers = {
+            **key.headers,
+            TEAM: _FORGED_TEAM,
             'Host': HOST,
             REQUEST_ID: name,
             DEADLINE: str(int(_DEADLINE * 1000)),
@@ -134,6 +148,7 @@
                 stated.get(STAMP, ''),
                 RATE_LIMIT in stated,
                 LEAVING in stated,
+                key,
             ),
         )
         return is_reusable
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -6,6 +6,8 @@
 from collections import Counter, defaultdict
 from typing import TYPE_CHECKING, Any
 
+from bluebellsill.platform.headers import TEAM
+
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
@@ -25,6 +27,8 @@
 _RATE_SLACK = 5  # requests that it may get in addition
 _PASSED_ON = 0.5  # seconds after which a node keeps to what it has passed on
 _MARGIN = 0.3  # seconds between the start of a fault and its record
+_KEY_BOUND = 2.5  # seconds until a removed key is refused, as the platform's
+_UNAUTHORIZED = 401
 _NOT_RUN = frozenset((408, 421, 429, 503))  # not executed, now or later
 
 Run = dict[str, Any]
@@ -54,6 +58,8 @@
         *_cold_runs(runs),
         *_runs_beyond_rate(runs, _Told(calls, faults)),
         *_runs_after_stated_departure(runs, _Told(calls, faults)),
+        *_refused_keys(calls),
+        *_runs_with_wrong_key(deployment, faults, runs, calls),
     ]
 
 
@@ -204,3 +210,58 @@
     for run in runs:
         if told.was_told_of_departure(run):
             yield f'{run["id"]} was executed after {run["by"]} stated to leave'
+
+
+def _refused_keys(calls: Iterable[CallRecord]) -> Iterator[str]:
+    for call in calls:
+        if call.status == _UNAUTHORIZED and call.key.is_kept:
+            if call.key.is_known:
+                yield f'{call.name} got 401 with a key of all versions'
+
+
+def _runs_with_wrong_key(
+    deployment: MeshDeployment,
+    faults: Faults,
+    runs: list[Run],
+    calls: list[CallRecord],
+) -> Iterator[str]:
+    """Yield runs that show a key, or that their key does not permit."""
+    secrets = {call.key.text for call in calls} - {''}
+    calls_by_name = {call.name: call for call in calls}
+    for run in runs:
+        shown = json.dumps(run)
+        if any(secret in shown for secret in secrets):
+            yield f'{run["by"]} received a key with {run["id"]}'
+        call = calls_by_name.get(run['id'])
+        if call is None:
+            continue
+        if not call.key.is_known:
+            yield f'{call.name} was executed with an unknown key'
+        teams = [text for name, text in run['headers'] if name.lower() == TEAM]
+        if call.key.is_known and teams != [call.key.team] * bool(call.key.team):
+            yield f'{call.name} of team {call.key.team!r} ran for {teams}'
+        yield from _late_key(call, run, deployment, faults)
+
+
+def _late_key(
+    call: CallRecord, run: Run, deployment: MeshDeployment, faults: Faults
+) -> Iterator[str]:
+    """Yield a run whose key had been removed.
+
+    It is excused if the entry node or the target's node was not able to read
+    the store for the bound and the stable period before it.
+    """
+    removed_at, at = call.key.removed_at, run['at']
+    if not removed_at or at <= removed_at + _KEY_BOUND:
+        return
+    place = (run['zone'], run['service'])
+    involved = [vm for vm in deployment.vms if (vm.zone, vm.service) == place]
+    since = at - _KEY_BOUND - _STABLE_PERIOD
+    if all(
+        faults.is_undisturbed(vm, since, at)
+        for vm in (call.vm, *(vm.name for vm in involved))
+    ):
+        yield (
+            f'{call.name} was executed {at - removed_at:.2f} s after its key'
+            ' had been removed'
+        )
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -14,6 +14,7 @@
 from tests.soak.checks import violations
 from tests.soak.faults import Faults
 from tests.soak.network import Network
+from tests.soak.teams import Teams
 from tests.soak.versions import Versions
 
 if TYPE_CHECKING:
@@ -61,10 +62,17 @@
             for zone in 'abc':
                 deployment.add(zone, 'shop')
                 deployment.add(zone, 'pay')
-        self._versions = Versions(deployment, self._is_over)
+        self._teams = Teams(seed, self._is_over)
+        self._versions = Versions(deployment, self._teams, self._is_over)
         self._faults = Faults(deployment, network, self._versions.declare)
         self._callers = [
-            Caller(deployment, f's{seed}c{index}', seed + index, self._is_over)
+            Caller(
+                deployment,
+                f's{seed}c{index}',
+                seed + index,
+                self._is_over,
+                self._teams.pick,
+            )
             for index in range(_CALLERS)
         ]
 
@@ -75,12 +83,13 @@
         workers = [self._versions, *self._callers]
         for one in workers:
             one.start()
+        self._teams.start(self._versions.rewrite)
         outcome = Outcome(self._seed)
         try:
             self._inject(seconds, outcome)
         finally:
             self._is_over.set()
-            for one in workers:
+            for one in (*workers, self._teams):
                 one.join()
         calls = [call for caller in self._callers for call in caller.calls]
         outcome.statuses = Counter(call.status for call in calls)
@@ -119,9 +128,10 @@
 
     def _is_serving(self) -> bool:
         newest = f'/v{self._versions.newest}/x'
+        headers = self._teams.steady_key().headers
         return all(
             self._deployment.is_ready(vm)
-            and self._deployment.call(vm, path).status == 200
+            and self._deployment.call(vm, path, headers=headers).status == 200
             for vm in self._deployment.vms
             for path in ('/shop/x', newest)
         )
