Let the soak check the allowance of a team in a surge

Cause: the allowances were tested with fake peers, not with real nodes under faults. Change: six callers of a limited team send several times its allowance for 6 s of every 9. In any 5 s, at most (rate x 5 + burst) x 1.1 + 20 of its requests may run, by the ledgers of all targets together.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -67,6 +67,7 @@
         seed: int,
         is_over: Event,
         pick_key: Callable[[Random], Key],
+        pause: Callable[[], float] = lambda: _PAUSE,
     ) -> None:
         self.calls: list[CallRecord] = []
         self._deployment = deployment
@@ -75,6 +76,7 @@
         # Separate, so that a seed's calls are the same with and without teams.
         self._key_random = Random(seed)
         self._pick_key = pick_key
+        self._pause = pause
         self._is_over = is_over
         self._thread = Thread(target=self._run)
 
@@ -104,7 +106,7 @@
         for _ in range(_MAX_CALLS):
             if self._is_over.is_set() or not self._call(vm, connection):
                 break
-            time.sleep(_PAUSE)
+            time.sleep(self._pause())
         connection.close()
 
     def _call(self, vm: Vm, connection: http.client.HTTPConnection) -> bool:
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -14,6 +14,7 @@
     from demo.mesh_harness import MeshDeployment
     from tests.soak.callers import CallRecord
     from tests.soak.faults import Faults
+    from tests.soak.teams import Teams
 
 # Seconds after an evacuation until its zone gets no more requests. The bound
 # with a stable store is 5; with no slow machine two gossip rounds are enough.
@@ -29,6 +30,11 @@
 _MARGIN = 0.3  # seconds between the start of a fault and its record
 _KEY_BOUND = 2.5  # seconds until a removed key is refused, as the platform's
 _UNAUTHORIZED = 401
+# The platform's bound on the requests of a team: its allowance in a window,
+# times a factor, and some more.
+_ALLOWANCE_WINDOW = 5.0  # seconds
+_ALLOWANCE_FACTOR = 1.1
+_ALLOWANCE_SLACK = 20  # requests
 _NOT_RUN = frozenset((408, 421, 429, 503))  # not executed, now or later
 
 Run = dict[str, Any]
@@ -38,6 +44,7 @@
     deployment: MeshDeployment,
     faults: Faults,
     calls: Iterable[CallRecord],
+    teams: Teams,
 ) -> list[str]:
     """Return the violations of the guarantees."""
     runs = [
@@ -60,6 +67,7 @@
         *_runs_after_stated_departure(runs, _Told(calls, faults)),
         *_refused_keys(calls),
         *_runs_with_wrong_key(deployment, faults, runs, calls),
+        *_runs_beyond_allowance(runs, calls, teams),
     ]
 
 
@@ -265,3 +273,25 @@
             f'{call.name} was executed {at - removed_at:.2f} s after its key'
             ' had been removed'
         )
+
+
+def _runs_beyond_allowance(
+    runs: list[Run], calls: list[CallRecord], teams: Teams
+) -> Iterator[str]:
+    """Yield the busiest window of the limited team if it breaks the bound.
+
+    Every run counts once for its request, however often it was retried.
+    """
+    names = {call.name for call in calls if call.key is teams.limited}
+    own = [(run['at'], run['id']) for run in runs if run['id'] in names]
+    allowance = teams.rate * _ALLOWANCE_WINDOW + teams.burst
+    allowed = allowance * _ALLOWANCE_FACTOR + _ALLOWANCE_SLACK
+    counts = [
+        len({name for at, name in own if 0 <= at - since < _ALLOWANCE_WINDOW})
+        for since, _ in own
+    ]
+    if max(counts, default=0) > allowed:
+        yield (
+            f'{max(counts)} requests of the limited team were executed within'
+            f' {_ALLOWANCE_WINDOW} s, allowed are {allowed:.0f}'
+        )
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -14,7 +14,7 @@
 from tests.soak.checks import violations
 from tests.soak.faults import Faults
 from tests.soak.network import Network
-from tests.soak.teams import Teams
+from tests.soak.teams import SURGE_CALLERS, Teams
 from tests.soak.versions import Versions
 
 if TYPE_CHECKING:
@@ -75,6 +75,18 @@
             )
             for index in range(_CALLERS)
         ]
+        if self._teams.exist:
+            self._callers += [
+                Caller(
+                    deployment,
+                    f's{seed}l{index}',
+                    -seed - index,
+                    self._is_over,
+                    lambda _: self._teams.limited,
+                    self._teams.surge_pause,
+                )
+                for index in range(SURGE_CALLERS)
+            ]
 
     def run(self, seconds: float) -> Outcome:
         """Inject faults for some seconds, wait for recovery, and check."""
@@ -95,7 +107,9 @@
         outcome.statuses = Counter(call.status for call in calls)
         outcome.injected = self._faults.log
         outcome.violations += self._versions.violations
-        outcome.violations += violations(self._deployment, self._faults, calls)
+        outcome.violations += violations(
+            self._deployment, self._faults, calls, self._teams
+        )
         return outcome
 
     def _inject(self, seconds: float, outcome: Outcome) -> None:
--- a/tests/soak/teams.py
+++ b/tests/soak/teams.py
@@ -22,7 +22,12 @@
 _RECENT = 3  # removed keys that callers still use
 _STEADY = ('club', 'den')  # teams without an allowance
 _LIMITED = 'surge'
-_ALLOWANCES = ((10, 0), (20, 10), (40, 20))  # rate and burst
+_ALLOWANCES = ((5, 0), (10, 10), (20, 20))  # rate and burst
+SURGE_CALLERS = 6  # callers of the limited team
+_SURGE_PERIOD = 9.0  # seconds from one surge of the limited team to the next
+_SURGE_SECONDS = 6.0  # seconds; longer than the window of the allowance
+_SURGE_PAUSE = 0.02  # seconds between the calls of a caller in a surge
+_USUAL_PAUSE = 0.6  # seconds between its calls otherwise
 
 
 @dataclass(eq=False)
@@ -68,6 +73,7 @@
         self._random = Random(seed)
         self.rate, self.burst = self._random.choice(_ALLOWANCES)
         self.limited = self._kept(_LIMITED)
+        self._first_surge_at = time.monotonic() + self._random.uniform(2, 4)
         self._steady = [self._kept(team) for team in _STEADY]
         self._unknown = Key(f'key-unknown-{seed}', is_known=False)
         self._lock = Lock()
@@ -126,6 +132,15 @@
             (keys,) = random.choices(kinds, _SHARES)
             return random.choice(keys or self._steady)
 
+    def surge_pause(self) -> float:
+        """Return the pause between calls of a caller of the limited team.
+
+        In a surge the team sends several times its allowance.
+        """
+        since = time.monotonic() - self._first_surge_at
+        is_surge = since >= 0 and since % _SURGE_PERIOD < _SURGE_SECONDS
+        return _SURGE_PAUSE if is_surge else _USUAL_PAUSE
+
     def _kept(self, team: str) -> Key:
         return Key(f'key-of-{team}-{self._seed}', team)
 
