Let callers of the soak send uploads beside small calls

Cause: bodies that travel between nodes on a connection of their own were not covered by a randomized run under faults. Change: 15 in 100 payments have a body of 60 to 360 KB. The existing checks of payments apply to them (no second run, none after a 503 or 429), and a run must have the whole body.

--- a/bluebellsill/standins/mesh_target.py
+++ b/bluebellsill/standins/mesh_target.py
@@ -336,6 +336,7 @@
                 'limited_since': self._limited_since,
                 'rate_limit': self._behaviour.rate_limit,
                 'headers': request.headers,
+                'size': len(request.body),
             },
         )
         with Path(settings.ledger).open('ab') as ledger:
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -4,6 +4,7 @@
 
 import http.client
 import time
+from contextlib import suppress
 from dataclasses import dataclass
 from http.client import HTTPMessage
 from random import Random
@@ -28,6 +29,8 @@
 
 _PAUSE = 0.02  # seconds between the calls of one caller
 _DEADLINE = 2.0  # seconds, sent with every request
+_UPLOADS = 0.15  # share of the payments that are uploads
+_UPLOAD_SIZES = (60_000, 360_000)  # bytes, as measured at the platform
 _MAX_CALLS = 20  # on one connection
 _FORGED_TEAM = 'forged'  # callers may not state their team
 _CONNECTION_ERRORS = (ConnectionError, http.client.HTTPException, OSError)
@@ -42,6 +45,7 @@
         states_rate: Whether the target stated a rate limit.
         states_leaving: Whether the target stated that it leaves.
         key: The key that was sent.
+        size: Bytes of the body that was sent.
     """
 
     name: str
@@ -55,6 +59,7 @@
     states_rate: bool = False
     states_leaving: bool = False
     key: Key = Key()
+    size: int = 0
 
 
 class Caller:
@@ -73,8 +78,9 @@
         self._deployment = deployment
         self._prefix = prefix
         self._random = Random(seed)
-        # Separate, so that a seed's calls are the same with and without teams.
+        # Separate, so that they leave the calls of a seed as they were.
         self._key_random = Random(seed)
+        self._size_random = Random(seed)
         self._pick_key = pick_key
         self._pause = pause
         self._is_over = is_over
@@ -124,13 +130,19 @@
             REQUEST_ID: name,
             DEADLINE: str(int(_DEADLINE * 1000)),
         }
+        size = self._size() if is_payment else 0
         sent_at = time.time()
         status, body, is_reusable = 0, b'', False
         stated = HTTPMessage()
         try:
-            connection.request(
-                method, f'/{service}/x?work={work}', headers=headers
-            )
+            # A node may answer and close before it has read the whole body.
+            with suppress(BrokenPipeError, ConnectionResetError):
+                connection.request(
+                    method,
+                    f'/{service}/x?work={work}',
+                    bytes(size) or None,
+                    headers,
+                )
             response = connection.getresponse()
             body = response.read()
             status = response.status
@@ -151,6 +163,12 @@
                 RATE_LIMIT in stated,
                 LEAVING in stated,
                 key,
+                size,
             ),
         )
         return is_reusable
+
+    def _size(self) -> int:
+        """Return the size of the body of a payment, 0 for most."""
+        is_upload = self._size_random.random() < _UPLOADS
+        return self._size_random.randint(*_UPLOAD_SIZES) if is_upload else 0
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -51,6 +51,7 @@
         json.loads(line)
         for line in deployment.ledger.read_text(encoding='utf-8').splitlines()
     ]
+    sizes = {run['id']: run['size'] for run in runs}
     run_counts = Counter(run['id'] for run in runs)
     logs = _Logs(deployment)
     calls = list(calls)
@@ -58,6 +59,7 @@
     for call in calls:
         found += _wrong_response(call, run_counts[call.name])
         found += _lost(call, faults, logs)
+        found += _cut_upload(call, sizes)
     return [
         *found,
         *_late_runs(deployment, faults, runs),
@@ -84,6 +86,12 @@
             yield f'{call.name} got the response {call.body!r}'
 
 
+def _cut_upload(call: CallRecord, sizes: dict[str, int]) -> Iterator[str]:
+    size = sizes.get(call.name, call.size)
+    if size != call.size:
+        yield f'{call.name} was executed with {size} of {call.size} bytes'
+
+
 class _Logs:
     """Finds in the logs of nodes which requests they have read."""
 
