Merge keys, allowances and uploads into the soak

Cause: the randomized runs had no teams and no large bodies. Change: keys that change under load, surges of a limited team and uploads, with checks from what callers and targets see.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -4,6 +4,7 @@
 
 import http.client
 import time
+from contextlib import suppress
 from dataclasses import dataclass
 from http.client import HTTPMessage
 from random import Random
@@ -16,15 +17,22 @@
     RATE_LIMIT,
     REQUEST_ID,
     STAMP,
+    TEAM,
 )
 from demo.mesh_harness import HOST
+from tests.soak.teams import Key
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from demo.mesh_harness import MeshDeployment, Vm
 
 _PAUSE = 0.02  # seconds between the calls of one caller
 _DEADLINE = 2.0  # seconds, sent with every request
+_UPLOADS = 0.15  # share of the payments that are uploads
+_UPLOAD_SIZES = (60_000, 360_000)  # bytes, as measured at the platform
 _MAX_CALLS = 20  # on one connection
+_FORGED_TEAM = 'forged'  # callers may not state their team
 _CONNECTION_ERRORS = (ConnectionError, http.client.HTTPException, OSError)
 
 
@@ -36,6 +44,8 @@
         by: The target that responded, empty for the node's own responses.
         states_rate: Whether the target stated a rate limit.
         states_leaving: Whether the target stated that it leaves.
+        key: The key that was sent.
+        size: Bytes of the body that was sent.
     """
 
     name: str
@@ -48,6 +58,8 @@
     by: str = ''
     states_rate: bool = False
     states_leaving: bool = False
+    key: Key = Key()
+    size: int = 0
 
 
 class Caller:
@@ -59,11 +71,18 @@
         prefix: str,
         seed: int,
         is_over: Event,
+        pick_key: Callable[[Random], Key],
+        pause: Callable[[], float] = lambda: _PAUSE,
     ) -> None:
         self.calls: list[CallRecord] = []
         self._deployment = deployment
         self._prefix = prefix
         self._random = Random(seed)
+        # Separate, so that they leave the calls of a seed as they were.
+        self._key_random = Random(seed)
+        self._size_random = Random(seed)
+        self._pick_key = pick_key
+        self._pause = pause
         self._is_over = is_over
         self._thread = Thread(target=self._run)
 
@@ -93,7 +112,7 @@
         for _ in range(_MAX_CALLS):
             if self._is_over.is_set() or not self._call(vm, connection):
                 break
-            time.sleep(_PAUSE)
+            time.sleep(self._pause())
         connection.close()
 
     def _call(self, vm: Vm, connection: http.client.HTTPConnection) -> bool:
@@ -103,18 +122,27 @@
         service = 'pay' if is_payment else 'shop'
         name = f'{self._prefix}n{len(self.calls)}'
         work = self._random.choice([1, 20, 100])
+        key = self._pick_key(self._key_random)
         headers = {
+            **key.headers,
+            TEAM: _FORGED_TEAM,
             'Host': HOST,
             REQUEST_ID: name,
             DEADLINE: str(int(_DEADLINE * 1000)),
         }
+        size = self._size() if is_payment else 0
         sent_at = time.time()
         status, body, is_reusable = 0, b'', False
         stated = HTTPMessage()
         try:
-            connection.request(
-                method, f'/{service}/x?work={work}', headers=headers
-            )
+            # A node may answer and close before it has read the whole body.
+            with suppress(BrokenPipeError, ConnectionResetError):
+                connection.request(
+                    method,
+                    f'/{service}/x?work={work}',
+                    bytes(size) or None,
+                    headers,
+                )
             response = connection.getresponse()
             body = response.read()
             status = response.status
@@ -134,6 +162,13 @@
                 stated.get(STAMP, ''),
                 RATE_LIMIT in stated,
                 LEAVING in stated,
+                key,
+                size,
             ),
         )
         return is_reusable
+
+    def _size(self) -> int:
+        """Return the size of the body of a payment, 0 for most."""
+        is_upload = self._size_random.random() < _UPLOADS
+        return self._size_random.randint(*_UPLOAD_SIZES) if is_upload else 0
