Make no node the grantor whose target left before it settled

A node that settles inserted itself into the rankings without looking at its own state, while the others did not take it for a candidate. Change: it inserts itself only as a candidate.

--- a/bluebellsill/allowances/grantors.py
+++ b/bluebellsill/allowances/grantors.py
@@ -90,6 +90,7 @@
         # This node becomes one once it has settled.
         self._joins_at_by_id: dict[str, float] = {}
         self._is_settled = False
+        self._is_own_candidate = True
         self._own_since = now
 
     def __len__(self) -> int:
@@ -101,6 +102,8 @@
     ) -> None:
         """Adapt the rankings to a changed or new record of a member."""
         self._admit_joined(now)
+        if record.id == self._own_id:
+            self._is_own_candidate = is_candidate(record)
         was_candidate = is_candidate(former)
         is_same = is_same_run(former, record)
         if was_candidate and not (is_candidate(record) and is_same):
@@ -170,7 +173,8 @@
             if settled_at is None:
                 return
             self._is_settled = True
-            self._insert(self._own_id, settled_at)
+            if self._is_own_candidate:
+                self._insert(self._own_id, settled_at)
         while self._joins_at_by_id:
             member_id, joins_at = next(iter(self._joins_at_by_id.items()))
             if joins_at > now:
--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -295,6 +295,24 @@
     assert grant.granted == int(capacity(_ALLOWANCE, 0.5))
 
 
+def test_node_whose_target_left_before_it_settled_grants_nothing() -> None:
+    """Guards against two grantors: the others do not take it for one."""
+    own = rank('atlas', _IDS, 1)[0]
+    clock = ManualClock(100)
+    members = Members(_record(own))
+    population, grantors = observe(members, clock)
+    for one in _IDS:
+        members.merge(_record(one), 100)
+    # The members are ranked before this node may be the grantor.
+    assert grantors.tenure('atlas', 100).grantor != own
+    members.update_own(state=MemberState.LEAVING)
+    clock.advance(40)
+    grantor = Grantor(own, grantors, population)
+    assert grantor.grant('atlas', 1, _ALLOWANCE, 1, clock.now()) is None
+    members.update_own(state=MemberState.READY)
+    assert grantor.grant('atlas', 1, _ALLOWANCE, 1, clock.now()) is not None
+
+
 def test_grantor_without_history_has_a_full_bucket() -> None:
     """Guards against refusals of a team that was idle for long."""
     view = _own_view()
