Name the revision of a release's record by what it is

Cause: a parameter outside the adapter had the name of a field of the store's calls. Change: record_revision. Result: mypy and the tests of the lease and the keys pass.

--- a/bluebellsill/platform/rollout_keys.py
+++ b/bluebellsill/platform/rollout_keys.py
@@ -225,7 +225,7 @@
     def save(
         self,
         token: StorePosition,
-        expected_revision: int,
+        record_revision: int,
         record: CanaryRecord,
         on_done: Callable[[Result[int, str]], None],
     ) -> None:
@@ -244,7 +244,7 @@
         writes.append(_key_value(record_key, _encodable(record)))
         conditions = [
             ExpectedRevision(f'{LEASE_PREFIX}{service}', token.revision),
-            ExpectedRevision(record_key, expected_revision),
+            ExpectedRevision(record_key, record_revision),
         ]
 
         def on_written(done: Result[int, KvFailure]) -> None:
--- a/bluebellsill/rollouts/acting.py
+++ b/bluebellsill/rollouts/acting.py
@@ -113,7 +113,7 @@
     def save(
         self,
         token: StorePosition,
-        expected_revision: int,
+        record_revision: int,
         record: CanaryRecord,
         on_done: Callable[[Result[int, str]], None],
     ) -> None:
@@ -121,7 +121,7 @@
 
         Args:
             token: The key with the lease must be at its revision.
-            expected_revision: The revision of the record's key.
+            record_revision: The revision of the record's key.
             record: The record.
             on_done: Called once with the new revision of the record's key.
         """
--- a/tests/canary_world.py
+++ b/tests/canary_world.py
@@ -166,12 +166,12 @@
     def save(
         self,
         token: StorePosition,
-        expected_revision: int,
+        record_revision: int,
         record: CanaryRecord,
         on_done: Any,
     ) -> None:
         store = self._world.store
-        call = lambda: store.save(token, expected_revision, record)
+        call = lambda: store.save(token, record_revision, record)
         self._call('save', call, on_done)
 
     def _call(
