Limit starts a little beyond the stated end of a cold period

Targets state the time left in whole milliseconds, rounded down, and the calls that wait for the end start together, so that a few may arrive before it. That this was the cause is not proved. Change: starts are limited for 10 ms more.

--- a/bluebellsill/slot_gate.py
+++ b/bluebellsill/slot_gate.py
@@ -218,10 +218,8 @@
         """
         if cold_until > self.start_limiter.cold_until + _COLD_REPORT_TOLERANCE:
             self.slowness.reset_baseline()
-        self.start_limiter.cold_until = cold_until
-        self.start_limiter.per_second = self._cold_rate_allowance.per_second(
-            per_second
-        )
+        allowed = self._cold_rate_allowance.per_second(per_second)
+        self.start_limiter.limit_until(cold_until, allowed)
 
     def limit_rate(self, rate: float | None, now: float) -> None:
         """Set the requests a second that the target takes, None for no limit.
--- a/bluebellsill/start_rate.py
+++ b/bluebellsill/start_rate.py
@@ -13,6 +13,10 @@
 # varies at most: a new connection takes some milliseconds, a busy node longer.
 _JITTER = 0.05
 _WINDOW = _SECOND + _JITTER  # seconds
+# Seconds for which starts are limited after the stated end of a cold period.
+# Targets state the time left in whole milliseconds, rounded down, and calls that
+# wait for the end start together.
+_END_MARGIN = 0.01
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,6 +48,16 @@
         self.per_second: float = 0
         self._starts: deque[float] = deque()
 
+    def limit_until(self, cold_until: float, per_second: float) -> None:
+        """Limit the starts until the stated end of a cold period.
+
+        Args:
+            cold_until: When the target is warm as it states, in seconds.
+            per_second: The starts a second until then.
+        """
+        self.cold_until = cold_until + _END_MARGIN
+        self.per_second = per_second
+
     def is_cold(self, now: float) -> bool:
         """Return whether starts are limited now."""
         return now < self.cold_until
--- a/tests/test_slot_gate.py
+++ b/tests/test_slot_gate.py
@@ -121,6 +121,20 @@
         assert sum(start <= one < start + 1 for one in starts) <= 7
 
 
+def test_calls_that_wait_for_a_cold_period_start_after_its_stated_end() -> None:
+    """Targets round the time left down, and got several too many at its end."""
+    gate = SlotGate()
+    gate.resize(50)
+    gate.on_slowness(1, 0)
+    gate.limit_starts_until(0.5, 4)
+    for _ in range(12):
+        gate.offer(Ticket(0, 1e9), 0)
+    gate.on_slowness(1, 0.5005)
+    assert gate.admit(0.5005) == []
+    gate.on_slowness(1, 0.52)
+    assert len(gate.admit(0.52)) == 8
+
+
 def test_cold_rules_raise_the_start_rate() -> None:
     allowance = ColdRateAllowance(factor=1.5, slack=4)
     gate = SlotGate(allowance)
