Review: show a second burst at a cold server after a restart

Cause: the limiter of a cold server's rate starts empty in a new process, as if the server had got nothing in the last second. No code of the project is changed.

--- a/review/common-2/mesh.py
+++ b/review/common-2/mesh.py
@@ -259,6 +259,7 @@
         self.running = 0
         self.state = 'ready'
         self.work_s = 0.05
+        self.cold_until: float = 0  # by the steady clock
         self._sequence = 0
         self._beats: asyncio.Task | None = None
         self._listener: asyncio.Server | None = None
@@ -279,6 +280,10 @@
         for writer in tuple(self._writers):
             writer.transport.abort()
 
+    @property
+    def cold_ms(self) -> int:
+        return max(0, int(1000 * (self.cold_until - time.monotonic())))
+
     async def beat(self) -> int:
         """Report once to the machine's node; return the status, 0 for none."""
         self._sequence += 1
@@ -295,7 +300,7 @@
             'status': {
                 'state': self.state,
                 'sequence': self._sequence,
-                'cold_left_ms': 0,
+                'cold_left_ms': self.cold_ms,
             },
         }
         found = await call(
@@ -329,7 +334,7 @@
                     leaves = self.state == 'draining'
                     headers = [
                         ('Bluebellsill-Instance-Id', self.name),
-                        ('Bluebellsill-Cold-Ms', '0'),
+                        ('Bluebellsill-Cold-Ms', str(self.cold_ms)),
                         *self.load(),
                     ]
                     status = '503 -' if leaves else '200 OK'
