--- a/review/common-2/mesh.py
+++ b/review/common-2/mesh.py
@@ -599,6 +599,9 @@
             await self.writer.drain()
         except OSError:
             return None
+        return await self.request_answer()
+
+    async def request_answer(self) -> Message | None:
         return await read_message(self.reader, is_response=True)
 
     def close(self) -> None:
