Give each request a reader that owns all that its response fills

Cause: the connection owned the headers and the body, and reported a response from within the parser's callback. That callback sent the next request, which reset them, while the old parser went on with the rest of the read and wrote into them. Three callbacks; one checked for that.

Change: a ResponseReader is created with a request and dropped with it. It owns the parser and the messages, and decides after the parser has returned. A connection is used again only if nothing lies behind the response, read or unread; bytes that come before the server can have got a request end it. On a used connection a response needs the id. A head in which another one begins is no head. Trailers are dropped. Each such connection is counted and logged.

Two tests are replaced: bytes behind a response used to keep their connection in test_response_status, which is the fault; a fake in test_not_run answered before it was connected.

--- a/bluebellsill/http_client.py
+++ b/bluebellsill/http_client.py
@@ -3,23 +3,16 @@
 from __future__ import annotations
 
 from collections import deque
-from http import HTTPStatus
 from typing import TYPE_CHECKING
 
-from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 from result import Err, Ok, Result
 
 from bluebellsill.decoding import parse_whole_number
-from bluebellsill.http import (
-    MAX_BODY,
-    Headers,
-    Request,
-    Response,
-    is_final_status,
-)
+from bluebellsill.http import Request, Response
 from bluebellsill.http_exchange import Exchange, HttpFailure, ResponseRules
 from bluebellsill.idle_limit import IdleLimit
-from bluebellsill.response_limit import ResponseLimit
+from bluebellsill.logs import get_logger
+from bluebellsill.response_reader import ResponseReader
 from bluebellsill.streams import Address, Stream
 
 if TYPE_CHECKING:
@@ -38,19 +31,21 @@
 # Seconds beyond its timeout that a response may take while bytes arrive.
 _MAX_EXTENSION = 30
 _MAX_ANSWERED_IDS = 64  # of a connection; more than one call's attempts
-_BODYLESS = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
-# The parser reads a body after the heads of interim responses above this one
-# if they state a length, and would take the final response for it.
-_LAST_BODILESS_INTERIM = HTTPStatus.EARLY_HINTS
 _NO_RULES = ResponseRules()
 
 
-class _StatusError(ValueError):
-    """A response has a status that no valid response has there."""
-
-
 class HttpPool:
-    """Sends requests to one server over persistent connections."""
+    """Sends requests to one server over persistent connections.
+
+    Attributes:
+        address: The address of the server.
+        rules: How its responses are accepted.
+        opened: The number of connections opened so far.
+        unclean: The number of connections closed because of bytes that belong
+            to no request.
+        idle_limit: Limits how long idle connections are kept.
+        reactor: Polls the sockets.
+    """
 
     def __init__(
         self,
@@ -62,10 +57,12 @@
         self.address = address
         self.rules = rules
         self.opened = 0
+        self.unclean = 0
         self.reactor = reactor
         self.idle_limit = IdleLimit()
         self._idle: list[_ClientConnection] = []
         self._open: set[_ClientConnection] = set()
+        self._log = get_logger('http')
 
     @property
     def open_connections(self) -> int:
@@ -142,6 +139,13 @@
             connection.stream.close()
             self._open.discard(connection)
 
+    def on_unclean(self, reason: str) -> None:
+        """Note that a connection holds bytes that belong to no request."""
+        self.unclean += 1
+        self._log.info(
+            'connection not reused', reason=reason, server=str(self.address)
+        )
+
     def _take_idle(self, request_id: str) -> _ClientConnection | None:
         """Return the best idle connection for a request, if there is one.
 
@@ -169,7 +173,12 @@
         is_within_limit = (
             max_idle_seconds is None or idle_seconds <= max_idle_seconds
         )
-        return is_within_limit and idle_seconds <= connection.idle_lifetime
+        if not is_within_limit or idle_seconds > connection.idle_lifetime:
+            return False
+        has_input = connection.stream.has_input()
+        if has_input:
+            self.on_unclean('input on an idle connection')
+        return not has_input
 
     def _on_timeout(
         self, exchange: Exchange, timeout: float, stall_timeout: float
@@ -204,21 +213,27 @@
         self.idle_lifetime: float = _IDLE_LIFETIME
         # The latest requests that were answered on this connection.
         self.answered_ids: deque[str] = deque(maxlen=_MAX_ANSWERED_IDS)
-        self._got_stale_response = False
-        self._is_too_large = False
+        self._is_first = True  # whether no request was answered here
         self._pool = pool
         self._request_size = 0  # bytes
+        self._queued_before = 0  # bytes of earlier requests
+        # The request in flight and the only reader of what the server sends
+        # meanwhile; both None between requests.
         self._exchange: Exchange | None = None
-        self._reset()
-        # The parser of the bytes that are being read.
-        self._fed_parser = self._parser
+        self._reader: ResponseReader | None = None
         self.stream = Stream.connect(pool.reactor, pool.address, self)
 
     def start(self, exchange: Exchange, request: Request) -> None:
         """Send a request."""
         self._exchange = exchange
-        self._reset()
+        self._reader = ResponseReader(
+            self._pool.rules,
+            exchange.request_id,
+            is_head=exchange.is_head,
+            is_first=self._is_first,
+        )
         encoded = request.encode()
+        self._queued_before = self.stream.queued_bytes
         self._request_size = len(encoded)
         self.stream.send(encoded)
 
@@ -236,31 +251,26 @@
         """Do nothing: the stream sends what was queued."""
 
     def on_bytes(self, chunk: bytes) -> None:
-        """Parse a part of the response."""
+        """Pass bytes to the reader of the request in flight.
+
+        Bytes that arrive before a request can have reached the server belong
+        to no request, and what follows them cannot be told apart from them.
+        """
         self.idle_seconds = None
         exchange = self._exchange
-        if exchange is None:
-            self.stream.lose('bytes without a request in flight')
-            return
-        exchange.received_at = self._pool.reactor.timers.clock.now()
-        self._has_body_part = False
-        self._fed_parser = self._parser
-        try:
-            self._fed_parser.feed_data(chunk)
-        except HttpParserError as error:
-            # The parser wraps the errors of callbacks.
-            cause = error.__context__ or error
-            self.stream.lose(f'malformed response: {cause}')
-            return
-        except HttpParserUpgrade:
-            self.stream.lose('response switches to another protocol')
+        reader = self._reader
+        if exchange is None or reader is None:
+            self._lose_unclean('bytes without a request in flight')
             return
-        if self._exchange is not exchange:
-            # The response is complete; the next request has a new limit.
+        if self._is_before_request(exchange):
+            self._lose_unclean('bytes before the server got the request')
             return
-        excess = self._limit.excess(len(chunk), has_body=self._has_body_part)
-        if excess:
-            self.stream.lose(f'response without end: {excess}')
+        exchange.received_at = self._pool.reactor.timers.clock.now()
+        reader.feed(chunk)
+        if reader.response is not None:
+            self._complete(exchange, reader, reader.response)
+        elif reader.fault:
+            self.stream.lose(reader.fault)
 
     def on_lost(self, reason: str) -> None:
         """Finish the exchange in flight with a failure.
@@ -273,157 +283,60 @@
         if exchange is not None and self.idle_seconds is not None:
             now = self._pool.reactor.timers.clock.now()
             self._pool.idle_limit.on_lost(self.idle_seconds, now)
-        if self._ends_with_connection and self.stream.received_eof:
-            response = self._response()
-            if exchange is not None and self._matches(exchange, response):
-                self._exchange = None
-                exchange.finish(Ok(response))
-                return
+        reader = self._reader
         self._exchange = None
-        if exchange is not None:
-            is_sent = self.is_sent
-            failure = HttpFailure(
-                reason, is_sent=is_sent, is_too_large=self._is_too_large
-            )
-            exchange.finish(Err(failure))
-
-    # Callbacks of the HTTP parser.
-
-    def on_header(self, name: bytes, text: bytes) -> None:
-        """Store a header."""
-        lower = name.decode('latin-1').lower()
-        if lower == 'content-length':
-            self._length = parse_whole_number(text.decode('latin-1')) or 0
-        self._has_length |= lower in {'content-length', 'transfer-encoding'}
-        self._headers.append((lower, text.decode('latin-1')))
-
-    def on_headers_complete(self) -> None:
-        """Reject an invalid status, or a body of unknown length."""
-        if self._fed_parser is not self._parser:
-            # Bytes behind a complete response whose callback has sent the next
-            # request; the new parser has no status yet.
+        self._reader = None
+        if exchange is None or reader is None:
             return
-        status = self._parser.get_status_code()
-        if is_final_status(status):
-            self._on_final_head(status)
-        else:
-            self._check_interim(status)
-
-    def on_body(self, chunk: bytes) -> None:
-        """Store a part of the body."""
-        self._has_body_part = True
-        self._body += chunk
-        self._check_size(len(self._body))
-
-    def on_message_complete(self) -> None:
-        """Report the complete response; skip one with a 1xx status."""
-        status = self._parser.get_status_code()
-        if status < HTTPStatus.OK:
-            self._clear()
-        else:
-            self._complete()
+        if reader.ends_with_connection and self.stream.received_eof:
+            reader.end()
+        if reader.response is not None:
+            exchange.finish(Ok(reader.response))
+            return
+        failure = HttpFailure(
+            reader.fault or reason,
+            is_sent=self.is_sent,
+            is_too_large=reader.is_too_large,
+        )
+        exchange.finish(Err(failure))
 
-    def _on_final_head(self, status: int) -> None:
-        exchange = self._exchange
-        is_bodyless = status in _BODYLESS or (exchange and exchange.is_head)
-        if not is_bodyless:
-            self._check_size(self._length)
-        if not self._has_length and not is_bodyless:
-            if self._pool.rules.allows_body_until_close:
-                self._ends_with_connection = True
-            else:
-                self._schedule_failure(
-                    'response has neither content-length nor transfer-encoding'
-                )
-        elif exchange is not None and exchange.is_head:
-            self._complete()
-
-    def _complete(self) -> None:
-        exchange = self._exchange
+    def _is_before_request(self, exchange: Exchange) -> bool:
+        """Return whether the server cannot have read the request yet.
+
+        An id tells the same more cheaply.
+        """
+        if not self.is_sent:
+            return True
+        has_begun = exchange.received_at is not None
+        if self._is_first or exchange.request_id or has_begun:
+            return False
+        return self.stream.delivered_bytes <= self._queued_before
+
+    def _complete(
+        self, exchange: Exchange, reader: ResponseReader, response: Response
+    ) -> None:
+        """Report the response, and decide whether the connection is kept.
+
+        The reader is dropped first: the callback may send the next request on
+        this connection, which gets a reader of its own.
+        """
         self._exchange = None
-        if exchange is None:
-            # No request is in flight: the response must not be delivered as the
-            # response to a later one.
-            self._schedule_failure('response without a request')
-            return
-        response = self._response()
-        if self._is_of_unknown_request(exchange, response):
-            self._exchange = exchange
-            self._schedule_failure('error without an id on a used connection')
-            return
-        if not self._matches(exchange, response):
-            # A late response to an earlier request; the response to this one
-            # is still to come.
-            self._got_stale_response = True
-            self._exchange = exchange
-            self._clear()
-            return
+        self._reader = None
+        self._is_first = False
         self.answered_ids.append(exchange.request_id)
-        keep_alive = self._parser.should_keep_alive()
-        if keep_alive and not exchange.is_head and not self._got_stale_response:
+        if reader.leaves_clean_connection:
             self.idle_lifetime = _idle_lifetime(response)
             self._pool.release(self)
         else:
+            if reader.has_excess:
+                self._pool.on_unclean('bytes behind a response')
             self.stream.close()
             self.forget()
         exchange.finish(Ok(response))
 
-    def _is_of_unknown_request(
-        self, exchange: Exchange, response: Response
-    ) -> bool:
-        """Return whether an error may belong to an earlier request.
-
-        Without an id, it may be one that the server repeats.
-        """
-        has_id = response.header(self._pool.rules.id_header)
-        is_used = bool(self.answered_ids)
-        return bool(exchange.request_id) and is_used and not has_id
-
-    def _matches(self, exchange: Exchange, response: Response) -> bool:
-        if not exchange.request_id:
-            return True
-        found = response.header(self._pool.rules.id_header)
-        if not found and response.status >= HTTPStatus.BAD_REQUEST:
-            # An error may come from an intermediary that does not read the id.
-            return True
-        return found == exchange.request_id
-
-    def _response(self) -> Response:
-        return Response(
-            self._parser.get_status_code(),
-            self._headers,
-            bytes(self._body),
-        )
-
-    def _check_interim(self, status: int) -> None:
-        if not HTTPStatus.CONTINUE <= status < HTTPStatus.OK:
-            raise _StatusError(f'status {status:03}')
-        if self._has_length and status > _LAST_BODILESS_INTERIM:
-            raise _StatusError(f'interim status {status} with a body')
-
-    def _check_size(self, size: int) -> None:
-        if size > MAX_BODY and not self._is_too_large:
-            self._is_too_large = True
-            self._schedule_failure(f'response body exceeds {MAX_BODY} bytes')
-
-    def _schedule_failure(self, reason: str) -> None:
-        self._pool.reactor.timers.after(0, lambda: self.stream.lose(reason))
-
-    def _reset(self) -> None:
-        # A new parser for each request, so that no state of an earlier response
-        # is carried over.
-        self._parser = HttpResponseParser(self)
-        self._limit = ResponseLimit()
-        self._has_body_part = False
-        self._is_too_large = False
-        self._clear()
-
-    def _clear(self) -> None:
-        self._headers: Headers = []
-        self._body = bytearray()
-        self._has_length = False
-        self._length = 0  # that the head states, in bytes
-        self._ends_with_connection = False
+    def _lose_unclean(self, reason: str) -> None:
+        self._pool.on_unclean(reason)
+        self.stream.lose(reason)
 
 
 def _idle_lifetime(response: Response) -> float:
--- a/bluebellsill/streams.py
+++ b/bluebellsill/streams.py
@@ -7,6 +7,7 @@
 from socket import (
     AF_INET,
     IPPROTO_TCP,
+    MSG_PEEK,
     SO_ERROR,
     SO_REUSEADDR,
     SOCK_STREAM,
@@ -174,6 +175,17 @@
         unacknowledged = int(_INT.unpack(buffer)[0])
         return self._queued_bytes - len(self._unsent) - unacknowledged
 
+    def has_input(self) -> bool:
+        """Whether bytes, or the end of the connection, wait to be read."""
+        try:
+            self._socket.recv(1, MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            # The connection has failed; the next use reports why.
+            return True
+        return True
+
     def close(self) -> None:
         """Close without notifying the owner; idempotent."""
         if self.is_closed:
--- a/tests/played.py
+++ b/tests/played.py
@@ -46,9 +46,9 @@
         self.owner = owner
         self.is_connected = False
         self.is_closed = False
+        self.received_eof = False
         self.unsent_bytes = 0
         self.queued_bytes = 0
-        self.delivered_bytes = 0
         self._unsent: list[bytes] = []
         session.timers.after(0, self._connect)
 
@@ -60,6 +60,15 @@
         else:
             self._unsent.append(payload)
 
+    @property
+    def delivered_bytes(self) -> int:
+        """The bytes sent so far: all have arrived."""
+        return self.queued_bytes
+
+    def has_input(self) -> bool:
+        """Return that nothing waits: input is handled when it is played."""
+        return False
+
     def close(self) -> None:
         """Close the connection and record it, unless it is closed already."""
         if not self.is_closed:
--- a/tests/test_idle_limit.py
+++ b/tests/test_idle_limit.py
@@ -32,10 +32,21 @@
         self.received_eof = False
         self.sent = 0
         self.unsent_bytes = 0
+        self.queued_bytes = 0
 
     def send(self, payload: bytes) -> None:
         """Count the sent payloads."""
         self.sent += 1
+        self.queued_bytes += len(payload)
+
+    @property
+    def delivered_bytes(self) -> int:
+        """The bytes sent so far: all have arrived."""
+        return self.queued_bytes
+
+    def has_input(self) -> bool:
+        """Return that nothing waits: input is handled when it is played."""
+        return False
 
     def close(self) -> None:
         """Mark the connection as closed."""
--- a/tests/test_not_run.py
+++ b/tests/test_not_run.py
@@ -131,6 +131,7 @@
     handlers[Call](connection, call)
     handlers[Cancel](connection, Cancel(7, waiting_only=True))
     if starts:
+        node.advance(0.01)  # until the connection is established
         node.target_responds(200, 'whole')
         assert sent[0].status == 200
     else:
--- a/tests/test_response_status.py
+++ b/tests/test_response_status.py
@@ -68,9 +68,20 @@
         self.owner = owner
         self.is_closed = False
         self.received_eof = False
+        self.queued_bytes = 0
 
     def send(self, payload: bytes) -> None:
         """Accept all bytes."""
+        self.queued_bytes += len(payload)
+
+    @property
+    def delivered_bytes(self) -> int:
+        """The bytes sent so far: all have arrived."""
+        return self.queued_bytes
+
+    def has_input(self) -> bool:
+        """Return that nothing waits: input is handled when it is played."""
+        return False
 
     def close(self) -> None:
         """Mark the connection as closed."""
@@ -206,7 +217,7 @@
 def test_bytes_behind_a_response_do_not_fail_the_next_request(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """It may be sent before the parser has read them, and has no status yet."""
+    """It is sent while they are read, and must not share their connection."""
     client = _Client(monkeypatch, _RULES['none'])
     record = client.outcomes.append
 
@@ -216,9 +227,11 @@
 
     client.pool.request(Request('GET', '/x'), 5, on_first)
     client.receive(_SOUND + _SOUND)
+    assert client.streams[0].is_closed
+    assert len(client.outcomes) == 1
     client.receive(_SOUND)
     assert [one.unwrap().status for one in client.outcomes] == [200, 200]
-    assert len(client.streams) == 1
+    assert len(client.streams) == 2
 
 
 @pytest.mark.parametrize('status', ['000', '600', '999'])
