Probe a target on connections of its own

Cause: the responses to probes have no id, and probes shared the pool of the calls.

Change: TargetConnections keeps one pool for calls and one for probes. The connection of the probe that discovers a target is closed after it; it used to stay open without an owner. Connections closed for bytes that belong to no request are a gauge.

Measured: the new test, a probe and a call on one connection, failed before.

--- a/bluebellsill/mesh_node.py
+++ b/bluebellsill/mesh_node.py
@@ -301,7 +301,10 @@
             at_target=lambda: self._runner.in_flight,
             starts=lambda: self._metrics.counts['starts'],
             target_rate_limit=lambda: self._runner.directives.rate_limit_gauge,
-            target_connections=lambda: self._runner.watch.opened_connections,
+            target_connections=lambda: self._runner.watch.connections.opened,
+            target_connections_unclean=lambda: (
+                self._runner.watch.connections.unclean
+            ),
             revision=lambda: self._state.position.revision,
             epoch=lambda: self._state.position.epoch,
             canaries=lambda: self._releases.running,
--- a/bluebellsill/target_runner.py
+++ b/bluebellsill/target_runner.py
@@ -293,7 +293,7 @@
         if not run.on_admitted():
             return
         call = run.call
-        pool = self.watch.pool
+        pool = self.watch.connections.calls
         announcement = self.announcement
         timeout = run.ticket.expires_at - self._clock.now()
         if pool is None or announcement is None or timeout <= 0:
--- a/bluebellsill/target_watch.py
+++ b/bluebellsill/target_watch.py
@@ -22,6 +22,7 @@
 from bluebellsill.probing import ProbeBudget
 from bluebellsill.resources import Service
 from bluebellsill.streams import Address
+from bluebellsill.target_connections import TargetConnections
 from bluebellsill.watch_rules import DEFAULT_WATCH_RULES, WatchOwner, WatchRules
 
 if TYPE_CHECKING:
@@ -56,7 +57,7 @@
     ) -> None:
         """Create a watch without an announced target."""
         self.announcement: Announcement | None = None
-        self.pool: HttpPool | None = None
+        self.connections = TargetConnections(reactor)
         self.start_id = ''
         self._dialect = dialect
         self._rules = rules
@@ -92,11 +93,6 @@
         name = self.announcement.service if self.announcement else ''
         return self._owner.service_of(name) or Service()
 
-    @property
-    def opened_connections(self) -> int:
-        """The number of connections opened to the current target so far."""
-        return self.pool.opened if self.pool else 0
-
     def announce(self, announcement: Announcement) -> None:
         """Process an announcement of the target."""
         known = self.announcement
@@ -130,13 +126,16 @@
         address = Address.parse(expected.address)
         self._metrics.counts['probes'] += 1
         sent_at = self._clock.now()
-        HttpPool(self._reactor, address, rules).request(
-            Request('GET', service.health_path, [('host', expected.address)]),
-            _PROBE_TIMEOUT,
-            lambda outcome: self._on_discovery_probed(
-                expected, outcome, sent_at
-            ),
+        pool = HttpPool(self._reactor, address, rules)
+
+        def on_done(outcome: Result[Response, HttpFailure]) -> None:
+            pool.close()
+            self._on_discovery_probed(expected, outcome, sent_at)
+
+        request = Request(
+            'GET', service.health_path, [('host', expected.address)]
         )
+        pool.request(request, _PROBE_TIMEOUT, on_done)
 
     def assume_cold(self) -> None:
         """Treat the target as cold until it reports otherwise."""
@@ -173,12 +172,13 @@
 
     def check_connectivity(self) -> None:
         """Check whether the target still accepts connections."""
-        if self.pool is None:
+        pool = self.connections.calls
+        if pool is None:
             self._losses.resolve_alive()
         elif self._connect_check is None:
             self._connect_check = ConnectCheck(
                 self._reactor,
-                self.pool.address,
+                pool.address,
                 self._on_checked,
             )
         else:
@@ -186,8 +186,7 @@
 
     def close(self) -> None:
         """Close every connection to the target."""
-        if self.pool is not None:
-            self.pool.close()
+        self.connections.close()
 
     def _on_started(self, announcement: Announcement) -> None:
         # Requests in flight belong to the previous start of the target.
@@ -196,7 +195,7 @@
         self.start_id = announcement.start_id
         address = Address.parse(announcement.address)
         rules = self._dialect.response_rules
-        self.pool = HttpPool(self._reactor, address, rules)
+        self.connections.open(address, rules)
         self._first_announced_at = self._clock.now()
         self.on_answer()
         self._owner.on_target_reset()
@@ -240,7 +239,8 @@
             self._probe()
 
     def _probe(self) -> None:
-        if self.pool is None or self._is_probing:
+        pool = self.connections.probes
+        if pool is None or self._is_probing:
             return
         now = self._clock.now()
         service = self.service
@@ -253,9 +253,9 @@
         self._is_probing = True
         self._probed_at = now
         self._metrics.counts['probes'] += 1
-        headers = [('host', str(self.pool.address))]
+        headers = [('host', str(pool.address))]
         request = Request('GET', service.health_path, headers)
-        self.pool.request(request, _PROBE_TIMEOUT, self._on_probed)
+        pool.request(request, _PROBE_TIMEOUT, self._on_probed)
 
     def _on_discovery_probed(
         self,
@@ -338,7 +338,7 @@
         fingerprints = {
             fingerprint for loss in losses for fingerprint in loss.fingerprints
         }
-        if fingerprints and self.pool is not None:
+        if fingerprints:
             self._owner.on_crash(self.start_id, sorted(fingerprints))
         for loss in losses:
             loss.resolve(has_crashed=True)
--- a/tests/test_leftover_bytes.py
+++ b/tests/test_leftover_bytes.py
@@ -14,12 +14,18 @@
 from result import Err, Ok, Result
 
 from bluebellsill import http_client
+from bluebellsill.announcement import Announcement
 from bluebellsill.clock import ManualClock
 from bluebellsill.http import Request, Response
 from bluebellsill.http_client import HttpPool
 from bluebellsill.http_exchange import HttpFailure, ResponseRules
+from bluebellsill.metrics import Metrics
+from bluebellsill.platform.target_dialect import PlatformDialect
+from bluebellsill.resources import Service
 from bluebellsill.streams import Address
+from bluebellsill.target_watch import TargetWatch
 from bluebellsill.timers import TimerService
+from bluebellsill.watch_rules import WatchRules
 
 _WITH_IDS = ResponseRules(id_header='x-id', allows_body_until_close=True)
 _WITHOUT_IDS = ResponseRules()
@@ -276,6 +282,49 @@
     assert stream.is_closed
 
 
+def test_response_to_a_call_leaves_nothing_to_a_probe(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Probes have no id, so they share no connection with calls."""
+    client = _Client(monkeypatch, _WITH_IDS)
+    probed: list[int] = []
+    owner: Any = SimpleNamespace(
+        service_of=lambda _: Service(),
+        on_target_reset=lambda: None,
+        on_target_changed=lambda: None,
+        on_cold_until=lambda _: None,
+        on_probed=lambda response, _: probed.append(response.status),
+    )
+    watch = TargetWatch(
+        client.reactor,
+        owner,
+        Metrics(),
+        PlatformDialect(),
+        WatchRules(probes_while_busy=True),
+    )
+    for _ in range(30):
+        watch.announce(Announcement('s', '127.0.0.1:1', 'one', False))
+        client.clock.advance(0.1)
+        client.reactor.timers.run_due()
+        if client.streams:
+            break
+    probe = client.streams[0]
+    probe.receive(b'HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n')
+    assert probed == [200]
+    pool = watch.connections.calls
+    assert pool is not None
+    outcomes: list[Result[Response, HttpFailure]] = []
+    pool.request(Request('GET', '/'), 5, outcomes.append)
+    assert len(client.streams) == 2
+    client.streams[1].receive(_OWN_RESPONSES['length'])
+    for _ in range(30):
+        watch.announce(Announcement('s', '127.0.0.1:1', 'one', False))
+        client.clock.advance(0.1)
+        client.reactor.timers.run_due()
+    assert len(probe.sent) == 2
+    assert len(client.streams[1].sent) == 1
+
+
 def test_trailers_do_not_identify_a_response(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
