Close a connection to the store with an answer to another call

Cause: calls of the store have no id. An answer that a call cannot decode may belong to another one; its connection was kept, and each later call on it got the answer to the call before.

Change: the idle connections are closed after an answer of another shape, as after a timeout, also by the client of the native store for a record without a version.

Measured: the new test failed before (the connection stayed open).

--- a/bluebellsill/platform/kv_store.py
+++ b/bluebellsill/platform/kv_store.py
@@ -341,7 +341,14 @@
 
         def on_response(done: Result[Response, HttpFailure]) -> None:
             answer = _decode(done, answer_type)
-            if isinstance(done, Err) and done.err_value.is_timeout:
+            if isinstance(done, Err):
+                is_in_doubt = done.err_value.is_timeout
+            else:
+                # It may answer another call, and so may the next ones on its
+                # connection: the answers of the store have no ids.
+                failure = answer.err()
+                is_in_doubt = failure is not None and failure.is_unusable
+            if is_in_doubt:
                 self._pool.discard_idle()
             if isinstance(done, Ok) and self._is_stale(done.ok_value):
                 reason = f'late answer from before epoch {self.epoch}'
--- a/bluebellsill/store.py
+++ b/bluebellsill/store.py
@@ -145,7 +145,24 @@
         on_done: Callable[[Result[Response, HttpFailure]], None],
     ) -> None:
         request.headers.append(('host', str(self._pool.address)))
-        self._pool.request(request, timeout, on_done)
+
+        def on_response(outcome: Result[Response, HttpFailure]) -> None:
+            if isinstance(outcome, Ok) and _is_of_another_call(
+                outcome.ok_value
+            ):
+                self._pool.discard_idle()
+            on_done(outcome)
+
+        self._pool.request(request, timeout, on_response)
+
+
+def _is_of_another_call(response: Response) -> bool:
+    """Return whether a record lacks its version, as no record of a store does.
+
+    What follows on such a connection may belong to other calls, too.
+    """
+    is_record = response.status == HTTPStatus.OK
+    return is_record and _parse_record(response).is_err()
 
 
 def _parse_read(
--- a/tests/test_leftover_bytes.py
+++ b/tests/test_leftover_bytes.py
@@ -20,6 +20,7 @@
 from bluebellsill.http_client import HttpPool
 from bluebellsill.http_exchange import HttpFailure, ResponseRules
 from bluebellsill.metrics import Metrics
+from bluebellsill.platform.kv_store import ItemPage, KvFailure, KvStore
 from bluebellsill.platform.target_dialect import PlatformDialect
 from bluebellsill.resources import Service
 from bluebellsill.streams import Address
@@ -282,6 +283,23 @@
     assert stream.is_closed
 
 
+def test_connection_with_an_answer_to_another_call_of_the_store_is_closed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Otherwise each later call on it gets the answer to the previous one."""
+    client = _Client(monkeypatch, _WITHOUT_IDS)
+    store = KvStore(client.reactor, Address('127.0.0.1', 1))
+    outcomes: list[Result[ItemPage, KvFailure]] = []
+    store.range('op/', '', outcomes.append)
+    client.streams[0].receive(
+        b'HTTP/1.1 200 OK\r\ncontent-length: 12\r\n\r\n{"ttl_ms":1}'
+    )
+    assert outcomes[0].unwrap_err().is_unusable
+    assert client.streams[0].is_closed
+    store.range('op/', '', outcomes.append)
+    assert len(client.streams) == 2
+
+
 def test_response_to_a_call_leaves_nothing_to_a_probe(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
