Let the connections in memory of the tests tell of input

Cause: a fake stream lacked has_input, which the client asks before it uses a connection again. Change: it says that nothing waits, as input there is handled when it comes.

--- a/tests/peer_world.py
+++ b/tests/peer_world.py
@@ -66,6 +66,9 @@
             self.queued_bytes += len(payload)
             self.outbox.append(bytes(payload))
 
+    def has_input(self) -> bool:
+        return False
+
     def close(self) -> None:
         self.is_closed = True
 
