Learn from the peers which requests crash targets before calls run

Cause: the quarantine is kept in the memory of a process, and a crash is told to the nodes that run at that moment. A node that starts later, was frozen or cut off asks nobody. Besides, the report went to every member of the service, a connection each, which no node of a service of thousands can open.

Change: SuspicionSync. A node that starts, unless all start for the first time, that was paused or hears of others again after 2 s refuses calls as stale, and is not announced as ready, until a peer of its service that is current has answered, or all have; after 1.5 s it goes on with what it knows. Besides, each node compares a digest with one random peer each second. What nodes know is merged by crash: an answer clears the crashes that the answering node knows, so old ones do not come back and unknown ones count; ages keep the earliest estimate, so that telling each other does not keep a suspicion alive. A crash is told to 16 nodes at most, and news is passed on to three. Nodes of earlier versions read the reports as before and ignore the queries.

What remains: if all nodes of a service end at once, nothing is left.

--- a/bluebellsill/gossip_messages.py
+++ b/bluebellsill/gossip_messages.py
@@ -12,6 +12,7 @@
     'Member',
     'Ping',
     'PingRequest',
+    'SuspicionQuery',
     'Sync',
     'SyncRequest',
     'version_of',
@@ -131,6 +132,23 @@
     document_version: int
 
 
+class SuspicionQuery(WireMessage, frozen=True, tag=39):
+    """Asks a node of the same service which requests crash targets.
+
+    The answer is a ``CrashReport``; nodes of earlier versions send none.
+
+    Attributes:
+        sender_id: Where the answer is sent.
+        digest: Of what the sender knows.
+        query: Identifies the query of a node that waits for the answer; 0 if
+            an answer is needed only where the digests differ.
+    """
+
+    sender_id: str
+    digest: int
+    query: int = 0
+
+
 def version_of(
     message: Ping | Ack | SyncRequest | Sync | Confirmation,
 ) -> ReplicaVersion:
--- a/bluebellsill/gossip_task.py
+++ b/bluebellsill/gossip_task.py
@@ -10,6 +10,7 @@
     Applied,
     Confirmation,
     Ping,
+    SuspicionQuery,
     Sync,
     SyncRequest,
     version_of,
@@ -32,6 +33,8 @@
 _REPORT_PERIOD = (
     2.0  # seconds between reports to readers; longer in large zones
 )
+# Seconds without the answer to any ping; one is sent each 0.5 s.
+_CUT_OFF_AFTER = 2.0
 _REPORTS_PER_SECOND = 50  # that a reader receives from all nodes of its zone
 
 
@@ -43,7 +46,16 @@
 
 
 class GossipTask:
-    """Connects the failure detector to the UDP socket and the timers."""
+    """Connects the failure detector to the UDP socket and the timers.
+
+    Attributes:
+        on_version: Called with the version of a peer's replica.
+        on_confirmation: Called with confirmations of readers.
+        on_suspicion_query: Called with the queries of other nodes.
+        on_interrupted: Called after a pause of this process, or when a peer
+            answers again after none has for a while, as other messages of
+            that time may be lost.
+    """
 
     def __init__(
         self,
@@ -67,6 +79,9 @@
         """
         self.on_version: Callable[[str, ReplicaVersion], None] | None = None
         self.on_confirmation: Callable[[Confirmation], None] | None = None
+        self.on_suspicion_query: Callable[[SuspicionQuery], None] | None = None
+        self.on_interrupted: Callable[[], None] | None = None
+        self._answered_at: float | None = None  # the latest ping
         self._swim = swim
         self._gossip = gossip
         self._replica = replica
@@ -111,7 +126,12 @@
         if isinstance(message, Confirmation):
             self._on_confirmation(message)
             return
+        if isinstance(message, SuspicionQuery):
+            if self.on_suspicion_query is not None:
+                self.on_suspicion_query(message)
+            return
         if isinstance(message, Ack):
+            self._note_contact()
             is_behind = self._replica.lacks(version_of(message))
             self._freshness.on_answer(message.sequence, is_behind=is_behind)
         self._gossip.send_all(self._swim.handle(message, self._clock.now()))
@@ -141,6 +161,18 @@
             else:
                 self._gossip.send(reader, applied)
 
+    def _note_contact(self) -> None:
+        now = self._clock.now()
+        silence = 0 if self._answered_at is None else now - self._answered_at
+        self._answered_at = now
+        if silence > _CUT_OFF_AFTER:
+            self._log.info('contact is back', silence=round(silence, 1))
+            self._report_interruption()
+
+    def _report_interruption(self) -> None:
+        if self.on_interrupted is not None:
+            self.on_interrupted()
+
     def _on_confirmation(self, message: Confirmation) -> None:
         if self.on_confirmation is not None:
             self.on_confirmation(message)
@@ -168,6 +200,7 @@
                 'process was paused; refusing new work until a peer answers'
             )
             self._freshness.on_paused(self._swim.next_sequence)
+            self._report_interruption()
             self.push()
 
     def _on_applied(self) -> None:
--- a/bluebellsill/membership.py
+++ b/bluebellsill/membership.py
@@ -152,6 +152,22 @@
             for member_id in self._ids_by_service.get(service, ())
         ]
 
+    def sample_of_service(
+        self, service: str, count: int, random: Random
+    ) -> list[str]:
+        """Return the ids of random live members of a service but this one.
+
+        Fewer are returned if some of those drawn are suspected.
+        """
+        ids = self._ids_by_service.get(service, [])
+        drawn = random.sample(ids, min(count + 1, len(ids)))
+        live = [
+            one
+            for one in drawn
+            if one != self.own.id and self.by_id[one].state in _LIVE
+        ]
+        return live[:count]
+
     def random_gone_id(self, random: Random) -> str | None:
         """Return the id of a random gone member, or None if there is none."""
         if not self._gone_at_by_id:
--- a/bluebellsill/mesh_node.py
+++ b/bluebellsill/mesh_node.py
@@ -22,7 +22,7 @@
 from bluebellsill.logs import bind_logs, flush_logs, get_logger
 from bluebellsill.lost_exclusions import LostExclusions
 from bluebellsill.membership import MemberState
-from bluebellsill.messages import CanaryReport, CanaryShare, CrashReport
+from bluebellsill.messages import CanaryReport, CanaryShare
 from bluebellsill.metrics import Metrics
 from bluebellsill.operator_state import OperatorState
 from bluebellsill.peer_stack import PeerStack
@@ -43,6 +43,7 @@
 from bluebellsill.resources import Service
 from bluebellsill.rollouts import CanaryReleases
 from bluebellsill.streams import Address
+from bluebellsill.suspicion_sync import SuspicionSync
 from bluebellsill.target_side import TargetSide
 from bluebellsill.teams import RevokedKeys
 from bluebellsill.timers import TimerService
@@ -130,7 +131,7 @@
             state = MemberState.JOINING
         elif announcement.is_leaving:
             state = MemberState.LEAVING
-        elif self._runner.watch.is_ready:
+        elif self._runner.watch.is_ready and self._suspicions.is_current:
             state = MemberState.READY
         else:
             state = MemberState.JOINING
@@ -178,7 +179,9 @@
         self._acceptance = Acceptance(
             self._peers.members,
             self._state,
-            lambda: self._peers.gossip_task.is_fresh,
+            lambda: (
+                self._peers.gossip_task.is_fresh and self._suspicions.is_current
+            ),
         )
         self._store = KvStore(
             self._reactor,
@@ -201,8 +204,19 @@
             self._peers.members,
             self._peers.links,
             self._quarantine,
+            self._random,
+        )
+        # Its peers are known by the service from the start.
+        self._peers.members.update_own(service=settings.target.service)
+        self._suspicions = SuspicionSync(
+            self._peers,
+            self._quarantine,
+            self._crashes,
+            self._timers,
+            self._random,
+            is_first_start=settings.node.is_first_start,
         )
-        self._peers.server.on(CrashReport, self._crashes.on_report)
+        self._suspicions.on_current = self.on_target_changed
 
     def _build_releases(self) -> None:
         self._releases = CanaryReleases(
--- a/bluebellsill/messages.py
+++ b/bluebellsill/messages.py
@@ -13,6 +13,7 @@
     Confirmation,
     Ping,
     PingRequest,
+    SuspicionQuery,
     Sync,
     SyncRequest,
 )
@@ -29,6 +30,7 @@
     'Claim',
     'ClaimReply',
     'CrashReport',
+    'CrashRow',
     'Failure',
     'Heartbeat',
     'HeartbeatReply',
@@ -40,6 +42,7 @@
     'RevisionRequest',
     'Revisions',
     'Settle',
+    'SuspectRow',
     'TargetNote',
     'TokenGrant',
     'TokenRequest',
@@ -351,6 +354,27 @@
     in_flight: int
 
 
+class CrashRow(WireMessage, frozen=True):
+    """A crash while a request was in flight.
+
+    Attributes:
+        crash_id: Identifies the crash at all nodes.
+        age_ms: Milliseconds since the crash, when the message was sent.
+        is_cleared: Whether the request was answered since.
+    """
+
+    crash_id: str
+    age_ms: int
+    is_cleared: bool
+
+
+class SuspectRow(WireMessage, frozen=True):
+    """The crashes that are known of the requests with one fingerprint."""
+
+    fingerprint: int
+    crashes: list[CrashRow]
+
+
 class CrashReport(WireMessage, frozen=True, tag=16):
     """Reports fingerprints in flight at a crash or cleared by an answer.
 
@@ -358,11 +382,19 @@
         crash_id: Identifies the crash, so that it is counted only once.
         suspects: Fingerprints that were in flight.
         cleared: Fingerprints that have been answered since then.
+        rows: What the sender knows of these fingerprints, or of all in the
+            answer to a query. Nodes of earlier versions neither send nor read
+            the rows and what follows.
+        answers: The query that the report answers, 0 if it answers none.
+        is_current: Whether the sender has asked its own peers before.
     """
 
     crash_id: str
     suspects: list[int]
     cleared: list[int]
+    rows: list[SuspectRow] = []
+    answers: int = 0
+    is_current: bool = False
 
 
 class BodyRequest(WireMessage, frozen=True, tag=17):
@@ -524,7 +556,14 @@
 
 _CanaryMessage = CanaryShare | CanaryReport
 _Datagram = (
-    Ping | Ack | PingRequest | SyncRequest | Sync | Applied | Confirmation
+    Ping
+    | Ack
+    | PingRequest
+    | SyncRequest
+    | Sync
+    | Applied
+    | Confirmation
+    | SuspicionQuery
 )
 
 Message = (
--- a/bluebellsill/node.py
+++ b/bluebellsill/node.py
@@ -29,7 +29,6 @@
 from bluebellsill.membership import MemberState
 from bluebellsill.messages import (
     Call,
-    CrashReport,
     ZoneReportRequest,
 )
 from bluebellsill.metrics import Metrics
@@ -45,6 +44,7 @@
 from bluebellsill.router_registry import RouterRegistry
 from bluebellsill.store import HttpStore
 from bluebellsill.streams import Address
+from bluebellsill.suspicion_sync import SuspicionSync
 from bluebellsill.target_api import TargetApi
 from bluebellsill.target_runner import TargetRunner
 from bluebellsill.timers import TimerService
@@ -132,9 +132,16 @@
             # The service is kept: this node still holds its idempotency keys.
             self._members.update_own(state=MemberState.JOINING)
         else:
-            is_leaving = announcement.is_leaving
-            state = MemberState.LEAVING if is_leaving else MemberState.READY
-            self._members.update_own(state=state, service=announcement.service)
+            if self._members.own.service != announcement.service:
+                self._members.update_own(service=announcement.service)
+                self._suspicions.begin()
+            if announcement.is_leaving:
+                state = MemberState.LEAVING
+            elif self._suspicions.is_current:
+                state = MemberState.READY
+            else:
+                state = MemberState.JOINING
+            self._members.update_own(state=state)
         self._gossip_task.push()
 
     def on_crash(self, start_id: str, fingerprints: list[int]) -> None:
@@ -164,7 +171,7 @@
         self._acceptance = Acceptance(
             self._members,
             self._configuration,
-            lambda: self._gossip_task.is_fresh,
+            lambda: self._gossip_task.is_fresh and self._suspicions.is_current,
         )
 
     def _build_control(self, settings: Settings) -> None:
@@ -209,7 +216,17 @@
             self._members,
             self._links,
             self._quarantine,
+            self._random,
+        )
+        self._suspicions = SuspicionSync(
+            self._peers,
+            self._quarantine,
+            self._crashes,
+            self._timers,
+            self._random,
+            is_first_start=False,
         )
+        self._suspicions.on_current = self.on_target_changed
         self._runner = TargetRunner(
             self._reactor,
             self,
@@ -266,7 +283,6 @@
         server = self._peers.server
         bodies = BodyReceiver(self._timers, self._metrics)
         PeerCalls(self._runner, bodies, self._keys).serve(server)
-        server.on(CrashReport, self._crashes.on_report)
         server.on(ZoneReportRequest, self._rollouts.on_request)
         self._timers.every(_OBSERVE_PERIOD, self._keys.observe)
 
--- a/tests/node_session.py
+++ b/tests/node_session.py
@@ -111,7 +111,9 @@
         self.body_links = PeerLinks(
             self.reactor, lambda _: Hello(OWN, 1), lambda _: None
         )
-        self.crashes = CrashReplicator(self.members, self.links, quarantine)
+        self.crashes = CrashReplicator(
+            self.members, self.links, quarantine, Random(1)
+        )
         self.runner = TargetRunner(self.reactor, self, quarantine, metrics)
         self.keys = KeyRegistry(
             self.members,
