Refuse a call that is quarantined while it waits

Cause: the quarantine was asked when a call arrives, not when it starts.

Change: asked again before the call is sent to the target.

Measured: the new test, a call behind another one and two reports of crashes meanwhile, failed before: the target got it.

--- a/bluebellsill/target_runner.py
+++ b/bluebellsill/target_runner.py
@@ -295,13 +295,20 @@
         call = run.call
         pool = self.watch.connections.calls
         announcement = self.announcement
-        timeout = run.ticket.expires_at - self._clock.now()
-        if pool is None or announcement is None or timeout <= 0:
-            is_expired = timeout <= 0
-            kind = ErrorKind.EXPIRED if is_expired else ErrorKind.NO_TARGET
+        now = self._clock.now()
+        timeout = run.ticket.expires_at - now
+        kind: ErrorKind | None = None
+        if timeout <= 0:
+            kind = ErrorKind.EXPIRED
+        elif self._quarantine.is_refused(call.fingerprint, now):
+            # It may have crashed other targets while it waited here.
+            kind = ErrorKind.QUARANTINED
+        if pool is None or announcement is None or kind is not None:
             self.runs.pop(run.ticket)
             self._release_slot(run.ticket)
-            run.respond(self._replies.refusal(call, kind))
+            run.respond(
+                self._replies.refusal(call, kind or ErrorKind.NO_TARGET)
+            )
             return
         self._metrics.counts['starts'] += 1
         headers = self._dialect.headers(call, timeout, announcement)
--- a/tests/test_target_sessions.py
+++ b/tests/test_target_sessions.py
@@ -8,7 +8,7 @@
 import pytest
 
 from bluebellsill.idempotency import Outcome
-from bluebellsill.messages import Answer, Message
+from bluebellsill.messages import Answer, CrashReport, Message
 from bluebellsill.resources import Kind
 from tests.node_session import OWN, TARGET, NodeSession
 
@@ -173,6 +173,30 @@
     session.compare_with_golden('target_crashes.txt')
 
 
+def test_call_that_is_quarantined_while_it_waits_does_not_start(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Targets of others may crash while it waits for a slot here."""
+    session = NodeSession(monkeypatch, service=_SERVICE)
+    session.declare(Kind.SERVICE, _SERVICE, slots=1)
+    session.add_target_node(_FIRST, _SERVICE)
+    session.announce('one')
+    session.runner.gate.ramp.limit = 1
+    session.call_from_peer('busy', '/bookings/busy', fingerprint=6)
+    session.call_from_peer('poison', '/bookings/poison', fingerprint=7)
+    for crash_id in ('10.0.0.8:1/one', '10.0.0.9:1/one'):
+        session.crashes.on_report(None, CrashReport(crash_id, [7], []))
+    session.target_responds(200, 'whole')
+    assert not [
+        line
+        for line in session.lines
+        if 'GET /bookings/poison' in line and 'node sends' in line
+    ]
+    refusals = [line for line in session.lines if 'Refusal' in line]
+    assert ["kind='quarantined'" in line for line in refusals] == [True]
+    assert session.runner.in_flight == 0
+
+
 def test_holder_session(monkeypatch: pytest.MonkeyPatch) -> None:
     session = NodeSession(monkeypatch, service=_SERVICE)
     session.declare(Kind.SERVICE, _SERVICE, expected_targets=2)
