Bound what incomplete responses take, and free them at once

Cause: each response has a limit (4 MiB of body), their number had none but the target's slots. And a reader and its parser refer to each other, so what was read stayed until a collection of garbage: four times what was held.

Evidence: test_endless_answers plays heads, bodies and chunks without end, at once and with pauses, at 128 slots, with real processes.

Change: a ResponseBudget of a quarter of the VM's memory for all connections to the target; beyond it the largest incomplete response fails. A reader is closed when its request ends. Bodies are kept in parts, not in one array that grows. Dropped responses are a gauge.

--- a/bluebellsill/http_client.py
+++ b/bluebellsill/http_client.py
@@ -12,6 +12,7 @@
 from bluebellsill.http_exchange import Exchange, HttpFailure, ResponseRules
 from bluebellsill.idle_limit import IdleLimit
 from bluebellsill.logs import get_logger
+from bluebellsill.response_budget import ResponseBudget
 from bluebellsill.response_reader import ResponseReader
 from bluebellsill.streams import Address, Stream
 
@@ -40,9 +41,8 @@
     Attributes:
         address: The address of the server.
         rules: How its responses are accepted.
+        budget: Limits what incomplete responses take.
         opened: The number of connections opened so far.
-        unclean: The number of connections closed because of bytes that belong
-            to no request.
         idle_limit: Limits how long idle connections are kept.
         reactor: Polls the sockets.
     """
@@ -52,18 +52,33 @@
         reactor: Reactor,
         address: Address,
         rules: ResponseRules = _NO_RULES,
+        budget: ResponseBudget | None = None,
     ) -> None:
-        """Create a pool without connections."""
+        """Create a pool without connections.
+
+        Args:
+            reactor: Polls the sockets.
+            address: The address of the server.
+            rules: How its responses are accepted.
+            budget: Limits what incomplete responses take; by default that of
+                this pool alone.
+        """
+        self.budget = budget or ResponseBudget()
         self.address = address
         self.rules = rules
         self.opened = 0
-        self.unclean = 0
+        self._unclean = 0
         self.reactor = reactor
         self.idle_limit = IdleLimit()
         self._idle: list[_ClientConnection] = []
         self._open: set[_ClientConnection] = set()
         self._log = get_logger('http')
 
+    @property
+    def unclean(self) -> int:
+        """The connections closed for bytes that belong to no request."""
+        return self._unclean
+
     @property
     def open_connections(self) -> int:
         """The number of open connections."""
@@ -128,6 +143,7 @@
 
     def forget(self, connection: _ClientConnection) -> None:
         """Remove a connection that has ended from the pool."""
+        self.budget.release(connection)
         self._open.discard(connection)
         if connection in self._idle:
             self._idle.remove(connection)
@@ -141,7 +157,7 @@
 
     def on_unclean(self, reason: str) -> None:
         """Note that a connection holds bytes that belong to no request."""
-        self.unclean += 1
+        self._unclean += 1
         self._log.info(
             'connection not reused', reason=reason, server=str(self.address)
         )
@@ -246,6 +262,7 @@
     def forget(self) -> None:
         """Remove this connection from the pool."""
         self._pool.forget(self)
+        self._drop_reader()
 
     def on_connected(self) -> None:
         """Do nothing: the stream sends what was queued."""
@@ -267,10 +284,17 @@
             return
         exchange.received_at = self._pool.reactor.timers.clock.now()
         reader.feed(chunk)
-        if reader.response is not None:
-            self._complete(exchange, reader, reader.response)
+        response = reader.response
+        if response:
+            self._complete(exchange, reader, response)
         elif reader.fault:
             self.stream.lose(reader.fault)
+        else:
+            self._pool.budget.hold(self, reader.held_bytes)
+
+    def drop_response(self, reason: str) -> None:
+        """Fail the request in flight."""
+        self.stream.lose(reason)
 
     def on_lost(self, reason: str) -> None:
         """Finish the exchange in flight with a failure.
@@ -278,27 +302,26 @@
         If the end of the connection marks the end of the response, the
         exchange succeeds instead.
         """
-        self.forget()
-        exchange = self._exchange
+        exchange, reader = self._exchange, self._reader
         if exchange is not None and self.idle_seconds is not None:
             now = self._pool.reactor.timers.clock.now()
             self._pool.idle_limit.on_lost(self.idle_seconds, now)
-        reader = self._reader
-        self._exchange = None
-        self._reader = None
         if exchange is None or reader is None:
+            self.forget()
             return
         if reader.ends_with_connection and self.stream.received_eof:
             reader.end()
-        if reader.response is not None:
-            exchange.finish(Ok(reader.response))
-            return
-        failure = HttpFailure(
-            reader.fault or reason,
-            is_sent=self.is_sent,
-            is_too_large=reader.is_too_large,
+        outcome: Result[Response, HttpFailure] = Err(
+            HttpFailure(
+                reader.fault or reason,
+                is_sent=self.is_sent,
+                is_too_large=reader.is_too_large,
+            )
         )
-        exchange.finish(Err(failure))
+        if reader.response is not None:
+            outcome = Ok(reader.response)
+        self.forget()
+        exchange.finish(outcome)
 
     def _is_before_request(self, exchange: Exchange) -> bool:
         """Return whether the server cannot have read the request yet.
@@ -320,20 +343,27 @@
         The reader is dropped first: the callback may send the next request on
         this connection, which gets a reader of its own.
         """
-        self._exchange = None
-        self._reader = None
         self._is_first = False
         self.answered_ids.append(exchange.request_id)
         if reader.leaves_clean_connection:
             self.idle_lifetime = _idle_lifetime(response)
+            self._drop_reader()
             self._pool.release(self)
         else:
-            if reader.has_excess:
-                self._pool.on_unclean('bytes behind a response')
             self.stream.close()
             self.forget()
+        if reader.has_excess:
+            self._pool.on_unclean('bytes behind a response')
         exchange.finish(Ok(response))
 
+    def _drop_reader(self) -> None:
+        """Free what was read; bytes that come later have no reader."""
+        reader, self._reader = self._reader, None
+        self._exchange = None
+        if reader is not None:
+            reader.close()
+            self._pool.budget.release(self)
+
     def _lose_unclean(self, reason: str) -> None:
         self._pool.on_unclean(reason)
         self.stream.lose(reason)
--- a/bluebellsill/mesh_node.py
+++ b/bluebellsill/mesh_node.py
@@ -316,6 +316,9 @@
             starts=lambda: self._metrics.counts['starts'],
             target_rate_limit=lambda: self._runner.directives.rate_limit_gauge,
             target_connections=lambda: self._runner.watch.connections.opened,
+            target_responses_dropped=lambda: (
+                self._runner.watch.connections.budget.dropped
+            ),
             target_connections_unclean=lambda: (
                 self._runner.watch.connections.unclean
             ),
--- a/bluebellsill/response_limit.py
+++ b/bluebellsill/response_limit.py
@@ -17,11 +17,15 @@
 
 
 class ResponseLimit:
-    """Counts the bytes received for one request."""
+    """Counts the bytes received for one request.
+
+    Attributes:
+        received: Their number.
+    """
 
     def __init__(self) -> None:
         """Create the limit of a request without a response."""
-        self._received = 0
+        self.received = 0
         self._overhead = 0
 
     def excess(self, size: int, *, has_body: bool) -> str:
@@ -34,10 +38,10 @@
         Returns:
             Which limit they exceed, or an empty string.
         """
-        self._received += size
+        self.received += size
         self._overhead = 0 if has_body else self._overhead + size
         if self._overhead > MAX_OVERHEAD:
             return f'{self._overhead} bytes without a part of a body'
-        if self._received > MAX_RECEIVED:
-            return f'{self._received} bytes without a complete response'
+        if self.received > MAX_RECEIVED:
+            return f'{self.received} bytes without a complete response'
         return ''
--- a/bluebellsill/response_reader.py
+++ b/bluebellsill/response_reader.py
@@ -22,6 +22,7 @@
 # The parser reads a body after the heads of interim responses above this one
 # if they state a length, and would take the final response for it.
 _LAST_BODILESS_INTERIM = HTTPStatus.EARLY_HINTS
+_PART_SIZE = 65536  # bytes from which a part of a body is not appended to
 _MAX_SHOWN_BYTES = 64  # of an invalid line, in the error message
 # The first bytes of every response (RFC 9112, section 4).
 _STATUS_LINE = re.compile(rb'HTTP/\d\.\d \d{3}')
@@ -38,15 +39,29 @@
     status: int = 0
     reason: bytes = b''
     headers: Headers = field(default_factory=list)
-    body: bytearray = field(default_factory=bytearray)
+    parts: list[bytearray] = field(default_factory=list)
+    size: int = 0  # of the body, in bytes
     has_length: bool = False
     length: int = 0  # that the head states, in bytes
     is_head_complete: bool = False
     ends_with_connection: bool = False
     keeps_alive: bool = False
 
+    def add(self, chunk: bytes) -> None:
+        """Append to the body.
+
+        Many parts of a limited size do not leave holes in the memory, as one
+        that grows to megabytes does.
+        """
+        self.size += len(chunk)
+        if self.parts and len(self.parts[-1]) < _PART_SIZE:
+            self.parts[-1] += chunk
+        else:
+            self.parts.append(bytearray(chunk))
+
     def response(self) -> Response:
-        return Response(self.status, self.headers, bytes(self.body))
+        """Return the complete response."""
+        return Response(self.status, self.headers, b''.join(self.parts))
 
 
 class ResponseReader:
@@ -96,7 +111,7 @@
         self._is_in_message = False
         self._message = _Message()
         self._complete: list[_Message] = []
-        self._parser = HttpResponseParser(self)
+        self._parser: HttpResponseParser | None = HttpResponseParser(self)
 
     @property
     def leaves_clean_connection(self) -> bool:
@@ -109,6 +124,11 @@
             self._keeps_alive and not self.has_excess and not self._has_skipped
         )
 
+    @property
+    def held_bytes(self) -> int:
+        """The bytes that were read for the request."""
+        return self._limit.received
+
     def feed(self, chunk: bytes) -> None:
         """Read bytes, until there is a response or a fault."""
         self._has_body_part = False
@@ -137,6 +157,16 @@
         """Complete a message that ends with the connection."""
         self._judge(self._message)
 
+    def close(self) -> None:
+        """Free what was read.
+
+        The parser refers to the reader, so that only a collection of garbage
+        would free them.
+        """
+        self._parser = None
+        self._message = _Message()
+        self._complete.clear()
+
     # Callbacks of the HTTP parser. They write to the current message only.
 
     def on_message_begin(self) -> None:
@@ -168,7 +198,8 @@
         message = self._message
         _check_line(message.reason)
         message.is_head_complete = True
-        message.status = self._parser.get_status_code()
+        if self._parser is not None:
+            message.status = self._parser.get_status_code()
         if not is_final_status(message.status):
             _check_interim(message)
             return
@@ -189,19 +220,22 @@
         """Store a part of the body."""
         self._has_body_part = True
         message = self._message
-        message.body += chunk
-        self._check_size(len(message.body))
+        message.add(chunk)
+        self._check_size(message.size)
 
     def on_message_complete(self) -> None:
         """Set a complete message aside, unless it is an interim response."""
         message = self._message
-        message.keeps_alive = self._parser.should_keep_alive()
+        if self._parser is not None:
+            message.keeps_alive = self._parser.should_keep_alive()
         if not self._is_head:
             self._complete.append(message)
         self._is_in_message = False
 
     def _parse(self, chunk: bytes) -> str:
         """Let the parser read; return why it cannot, or an empty string."""
+        if self._parser is None:
+            return 'reader is closed'
         try:
             self._parser.feed_data(chunk)
         except HttpParserError as error:
--- a/bluebellsill/target_connections.py
+++ b/bluebellsill/target_connections.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from bluebellsill.http_client import HttpPool
+from bluebellsill.response_budget import ResponseBudget
 
 if TYPE_CHECKING:
     from bluebellsill.http_exchange import ResponseRules
@@ -23,12 +24,19 @@
     Attributes:
         calls: The connections for calls, None before ``open``.
         probes: The connections for probes, None before ``open``.
+        budget: Limits what the incomplete responses on all of them take.
     """
 
-    def __init__(self, reactor: Reactor) -> None:
-        """Create connections to no target."""
+    def __init__(self, reactor: Reactor, response_memory: int) -> None:
+        """Create connections to no target.
+
+        Args:
+            reactor: Polls the sockets.
+            response_memory: Bytes that its incomplete responses may take.
+        """
         self.calls: HttpPool | None = None
         self.probes: HttpPool | None = None
+        self.budget = ResponseBudget(response_memory)
         self._reactor = reactor
 
     @property
@@ -43,8 +51,8 @@
 
     def open(self, address: Address, rules: ResponseRules) -> None:
         """Create the pools of a target that has started."""
-        self.calls = HttpPool(self._reactor, address, rules)
-        self.probes = HttpPool(self._reactor, address, rules)
+        self.calls = HttpPool(self._reactor, address, rules, self.budget)
+        self.probes = HttpPool(self._reactor, address, rules, self.budget)
 
     def close(self) -> None:
         """Close every connection; requests in flight fail."""
--- a/bluebellsill/target_side.py
+++ b/bluebellsill/target_side.py
@@ -18,6 +18,7 @@
 from bluebellsill.peer_calls import PeerCalls
 from bluebellsill.platform.endpoints import TargetReportApi
 from bluebellsill.platform.target_dialect import PlatformDialect
+from bluebellsill.response_budget import capacity_of_vm
 from bluebellsill.slot_gate import SlotGate
 from bluebellsill.start_rate import ColdRateAllowance
 from bluebellsill.streams import Address
@@ -92,6 +93,7 @@
                 confirm_after=None
                 if is_first
                 else _CONFIRM_AFTER_PERIODS * period,
+                response_memory=capacity_of_vm(settings.limits.memory_mb),
             ),
             shedding,
         )
--- a/bluebellsill/target_watch.py
+++ b/bluebellsill/target_watch.py
@@ -57,7 +57,7 @@
     ) -> None:
         """Create a watch without an announced target."""
         self.announcement: Announcement | None = None
-        self.connections = TargetConnections(reactor)
+        self.connections = TargetConnections(reactor, rules.response_memory)
         self.start_id = ''
         self._dialect = dialect
         self._rules = rules
--- a/bluebellsill/watch_rules.py
+++ b/bluebellsill/watch_rules.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
+from bluebellsill.response_budget import DEFAULT_CAPACITY
+
 if TYPE_CHECKING:
     from bluebellsill.announcement import Announcement
     from bluebellsill.http import Response
@@ -15,7 +17,7 @@
 
 @dataclass(frozen=True, slots=True)
 class WatchRules:
-    """Timing of the monitoring of a target.
+    """Timing of the monitoring of a target, and the memory for it.
 
     Attributes:
         announcement_lifetime: Seconds without an announcement after which a
@@ -28,12 +30,14 @@
             the first one may be a late announcement of a target that
             departed before the node was restarted. None accepts the first
             announcement.
+        response_memory: Bytes that its incomplete responses may take.
     """
 
     announcement_lifetime: float = 3.0
     probe_period: float = 1.0
     probes_while_busy: bool = False
     confirm_after: float | None = None
+    response_memory: int = DEFAULT_CAPACITY
 
 
 DEFAULT_WATCH_RULES = WatchRules()
