Ask the peers that a node meets only after it has gone on

Cause: a node that found neither the store nor a seed went on after 1.5 s with what it knew, and met its peers by chance of the next comparison while it already ran calls.

Change: if it knew no peer that could have answered, it waits for an answer again as soon as it knows one.

Measured: the new test failed before.

--- a/bluebellsill/suspicion_sync.py
+++ b/bluebellsill/suspicion_sync.py
@@ -79,6 +79,8 @@
         self._queries = count(1)
         self._log = get_logger('crashes')
         self._is_current = True
+        # Whether it went on because it knew no peer that could answer.
+        self._is_unanswered = False
         self._first_query = 0  # answers to earlier ones are too old
         self._began_at: float = 0
         # When other members were known first; none is known at the start.
@@ -103,6 +105,7 @@
         """Learn anew what the peers know."""
         was_current = self._is_current
         self._is_current = False
+        self._is_unanswered = False
         self._began_at = self._clock.now()
         self._answered.clear()
         self._first_query = next(self._queries)
@@ -136,7 +139,10 @@
             self._become_current('all peers have answered')
 
     def _compare(self) -> None:
-        if self._is_current:
+        if self._is_unanswered and self._awaited_peers():
+            self._log.info('peers are known; asking for missed crashes')
+            self.begin()
+        elif self._is_current:
             self._query(1, query=0)
 
     def _await_answer(self) -> None:
@@ -146,6 +152,7 @@
             return
         if now - self._began_at > _MAX_WAIT:
             self._become_current('no peer has answered')
+            self._is_unanswered = not self._awaited_peers()
         elif self._is_alone(now):
             self._become_current('no other node of the service')
         else:
--- a/tests/test_suspicion_sync.py
+++ b/tests/test_suspicion_sync.py
@@ -189,6 +189,27 @@
     assert node.sync.is_current
 
 
+def test_node_that_meets_its_peers_late_asks_them_before_it_goes_on() -> None:
+    """The store and its seeds may have been away when it started."""
+    world = _quarantined()
+    node_id = world.ids()[2]
+    world.nodes[node_id].is_cut_off = True
+    own = Member(node_id, 99, 0, int(MemberState.READY), 'a', _SERVICE)
+    node = world.start(node_id)
+    node.is_cut_off = True
+    node.members = node.sync._members = Members(own)
+    world.run(2)
+    assert node.sync.is_current
+    node.is_cut_off = False
+    for other in world.nodes.values():
+        node.members.merge(other.members.own, world.clock.now())
+    while node.sync.is_current:
+        world.run(_STEP)
+    world.run(0.3)
+    assert node.sync.is_current
+    assert node.refuses(_POISON)
+
+
 def test_only_node_of_a_service_does_not_wait_for_others() -> None:
     world = _World(1)
     node = world.start(world.ids()[0])
