Answer queries for suspects of known members only

Cause: the address in a query was used as it came. One that is no address raised an error in the event loop of the node.

Change: a query of a stranger is ignored.

--- a/bluebellsill/suspicion_sync.py
+++ b/bluebellsill/suspicion_sync.py
@@ -113,7 +113,12 @@
             self._await_answer()
 
     def on_query(self, message: SuspicionQuery) -> None:
-        """Answer a node that waits, or that knows something else."""
+        """Answer a node that waits, or that knows something else.
+
+        A stranger becomes known by its gossip, and asks again.
+        """
+        if message.sender_id not in self._members.by_id:
+            return
         now = self._clock.now()
         differs = message.digest != self._quarantine.digest(now)
         if not differs and not message.query:
--- a/tests/test_suspicion_sync.py
+++ b/tests/test_suspicion_sync.py
@@ -16,7 +16,7 @@
 
 from bluebellsill.clock import ManualClock
 from bluebellsill.crash_replication import CrashReplicator
-from bluebellsill.gossip_messages import Member
+from bluebellsill.gossip_messages import Member, SuspicionQuery
 from bluebellsill.membership import Members, MemberState
 from bluebellsill.messages import CrashReport, Message, decode, encode
 from bluebellsill.quarantine import Quarantine
@@ -210,6 +210,15 @@
     assert node.refuses(_POISON)
 
 
+def test_query_of_a_stranger_is_not_answered() -> None:
+    """Its address may be none at all."""
+    world = _quarantined()
+    node = world.nodes[world.ids()[0]]
+    world.messages = 0
+    node.gossip_task.on_suspicion_query(SuspicionQuery('no address', 1, 2))
+    assert world.messages == 0
+
+
 def test_only_node_of_a_service_does_not_wait_for_others() -> None:
     world = _World(1)
     node = world.start(world.ids()[0])
