Test real connections with unread bytes

Cause: what lies unread in the socket when a connection is taken was covered by a simulated connection only. Change: a server that sends more, or closes, while the client reads nothing.

--- a/tests/test_kept_connection.py
+++ b/tests/test_kept_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from contextlib import suppress
 from socket import create_server, socket
 from threading import Thread
 from time import sleep
@@ -41,8 +42,9 @@
 
     channel = 'client'
 
-    def __init__(self, port: int, request_ids: list[str]) -> None:
+    def __init__(self, port: int, request_ids: list[str], pause: float) -> None:
         super().__init__()
+        self._pause = pause
         reactor = Reactor(TimerService(SystemClock())).register(self)
         self.pool = HttpPool(reactor, Address('127.0.0.1', port), _RULES)
         self.outcomes: list[Result[Response, HttpFailure]] = []
@@ -57,19 +59,21 @@
     def _on_done(self, outcome: Result[Response, HttpFailure]) -> None:
         self.outcomes.append(outcome)
         if len(self.outcomes) < len(self._request_ids):
+            sleep(self._pause)
             self._send()
         else:
             self.stop()
 
 
 def _outcomes(
-    serve: Serve, request_ids: list[str]
+    serve: Serve, request_ids: list[str], pause: float = 0
 ) -> list[Result[Response, HttpFailure]]:
     """Return the outcomes of requests to a server.
 
     Args:
         serve: Handles a connection; they are numbered from 0.
         request_ids: The ids of the requests.
+        pause: Seconds for which the client reads nothing before a request.
     """
     with create_server(('127.0.0.1', 0)) as listener:
 
@@ -84,7 +88,7 @@
                 ).start()
 
         Thread(target=accept, daemon=True).start()
-        client = _Client(listener.getsockname()[1], request_ids)
+        client = _Client(listener.getsockname()[1], request_ids, pause)
         client.run()
         client.pool.close()
         return client.outcomes
@@ -127,6 +131,29 @@
     assert second.err_value.is_sent
 
 
+@pytest.mark.parametrize(
+    'late', [b'HTTP/1.1 503 Full\r\nx-not-run: 1\r\nx-trace: a', b'<', b'']
+)
+def test_connection_with_unread_bytes_is_not_used_again(late: bytes) -> None:
+    """Nor one that the server has closed: the request would be lost."""
+
+    def serve(connection: socket, number: int) -> None:
+        with connection:
+            connection.recv(65536)
+            connection.sendall(_success('ab'[number]))
+            if not number:
+                sleep(_PAUSE)
+                connection.sendall(late)
+                if not late:
+                    return
+                with suppress(ConnectionError):
+                    assert not connection.recv(65536)
+
+    first, second = _outcomes(serve, ['a', 'b'], pause=3 * _PAUSE)
+    assert first.unwrap().body == b'ok'
+    assert second.unwrap().body == b'ok'
+
+
 _ID = b'HTTP/1.1 200 OK\r\nx-id: a\r\n'
 _CHUNKED = b'transfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n'
 _CUT_ANSWERS = {
