Reject a head that is broken off and followed by another of its request

Cause: an id in front of a quoted status line was taken as proof that the head is whole. A server that breaks off in a header and answers the same request anew, with a failure, gave a success with the body of the failure.

Change: such a head states its id once, and in front of the quote.

--- a/bluebellsill/response_reader.py
+++ b/bluebellsill/response_reader.py
@@ -23,7 +23,7 @@
 # if they state a length, and would take the final response for it.
 _LAST_BODILESS_INTERIM = HTTPStatus.EARLY_HINTS
 _PART_SIZE = 65536  # bytes from which a part of a body is not appended to
-_MAX_SHOWN_BYTES = 64  # of an invalid line, in the error message
+_JOINED = 'another response begins within a line of the head'
 # The first bytes of every response (RFC 9112, section 4).
 _STATUS_LINE = re.compile(rb'HTTP/\d\.\d \d{3}')
 
@@ -41,6 +41,7 @@
     headers: Headers = field(default_factory=list)
     parts: list[bytearray] = field(default_factory=list)
     size: int = 0  # of the body, in bytes
+    quotes_response: bool = False  # whether a line contains a status line
     has_length: bool = False
     length: int = 0  # that the head states, in bytes
     is_head_complete: bool = False
@@ -181,11 +182,9 @@
     def on_header(self, name: bytes, text: bytes) -> None:
         """Store a header; trailers are dropped, they come after the facts."""
         message = self._message
-        # An id in front of the line shows that the head is no remainder.
-        if b'HTTP/' in text and not self._is_identified():
-            _check_line(text)
         if message.is_head_complete:
             return
+        message.quotes_response |= _has_status_line(text)
         lower = name.decode('latin-1').lower()
         decoded = text.decode('latin-1')
         if lower == 'content-length':
@@ -196,7 +195,7 @@
     def on_headers_complete(self) -> None:
         """Reject an invalid status, or a body that cannot be accepted."""
         message = self._message
-        _check_line(message.reason)
+        self._check_joined(message)
         message.is_head_complete = True
         if self._parser is not None:
             message.status = self._parser.get_status_code()
@@ -277,17 +276,29 @@
         self._keeps_alive = message.keeps_alive and not self._is_head
 
     def _id_of(self, message: _Message) -> str:
-        if not self._id_header:
-            return ''
-        for name, text in message.headers:
-            if name == self._id_header:
-                return text
-        return ''
+        return next(iter(self._ids_of(message)), '')
+
+    def _ids_of(self, message: _Message) -> list[str]:
+        header = self._id_header
+        return [text for name, text in message.headers if name == header]
+
+    def _check_joined(self, message: _Message) -> None:
+        """Reject a head that goes on with the beginning of another one.
 
-    def _is_identified(self) -> bool:
-        """Whether the head so far states the id of the request."""
-        own = self._request_id
-        return bool(own) and self._id_of(self._message) == own
+        The remainder of an earlier response may end in the middle of a line,
+        and so may a response that the server breaks off. What follows in that
+        line would lend its id to a status that is not its own. A head that
+        only quotes a status line states its id once, in front of that.
+        """
+        if _has_status_line(message.reason):
+            raise _ResponseError(_JOINED)
+        if message.quotes_response:
+            texts = [text.encode('latin-1') for _, text in message.headers]
+            quote = next(filter(_has_status_line, texts))
+            in_front = message.headers[: texts.index(quote)]
+            is_own = (self._id_header, self._request_id) in in_front
+            if not is_own or len(self._ids_of(message)) > 1:
+                raise _ResponseError(_JOINED)
 
     def _check_size(self, size: int) -> None:
         if size > MAX_BODY:
@@ -295,16 +306,8 @@
             raise _ResponseError(f'response body exceeds {MAX_BODY} bytes')
 
 
-def _check_line(text: bytes) -> None:
-    """Reject a line of a head in which another response begins.
-
-    The remainder of an earlier response may end in the middle of a line. The
-    response that follows in that line would lend its id to a status that is
-    not its own.
-    """
-    if _STATUS_LINE.search(text):
-        shown = text[:_MAX_SHOWN_BYTES]
-        raise _ResponseError(f'response begins within the line {shown!r}')
+def _has_status_line(text: bytes) -> bool:
+    return b'HTTP/' in text and _STATUS_LINE.search(text) is not None
 
 
 def _check_interim(message: _Message) -> None:
--- a/tests/test_leftover_bytes.py
+++ b/tests/test_leftover_bytes.py
@@ -74,6 +74,10 @@
         b'HTTP/1.1 200 OK\r\ncontent-length: 12\r\nx-stamp: s\r\n'
         b'x-id: own\r\n\r\n' + _OWN_BODY
     ),
+    'length last': (
+        b'HTTP/1.1 200 OK\r\nx-id: own\r\nx-stamp: s\r\n'
+        b'content-length: 12\r\n\r\n' + _OWN_BODY
+    ),
     'chunks': (
         b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\nx-id: own\r\n'
         b'x-stamp: s\r\n\r\n5\r\n{"id"\r\n7\r\n:"own"}\r\n0\r\n\r\n'
@@ -371,6 +375,29 @@
     assert isinstance(outcomes[0], Ok)
 
 
+@pytest.mark.parametrize('own', _OWN_RESPONSES)
+def test_response_that_is_broken_off_in_its_head_lends_nothing_to_the_next(
+    monkeypatch: pytest.MonkeyPatch, own: str
+) -> None:
+    """Both have the id of the request."""
+    broken_off = _OWN_RESPONSES[own].partition(b'\r\n\r\n')[0]
+    failure = (
+        b'HTTP/1.1 500 Internal Server Error\r\nx-id: own\r\n'
+        b'content-length: 4\r\n\r\noops'
+    )
+    for end in range(1, len(broken_off)):
+        for is_first in (True, False):
+            client = _Client(monkeypatch, _WITH_IDS)
+            if not is_first:
+                client.request('earlier', [])
+                client.streams[0].receive(_FIRST)
+            outcomes: list[Result[Response, HttpFailure]] = []
+            client.request('own', outcomes)
+            client.streams[0].receive(broken_off[:end] + failure)
+            client.streams[0].end()
+            assert outcomes[0].unwrap_err().is_sent, (end, outcomes)
+
+
 def test_late_whole_response_to_an_earlier_request_is_skipped(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
