Answer a node that starts although it is not known yet

Cause: of nodes that start together one knows the other first. It asked, and was ignored as a stranger until its record had spread, so it refused calls for up to 1.5 s.

Change: a query carries the member record of its sender, which is merged like that of a ping. One whose id is no address is logged and ignored.

--- a/bluebellsill/gossip_messages.py
+++ b/bluebellsill/gossip_messages.py
@@ -138,13 +138,15 @@
     The answer is a ``CrashReport``; nodes of earlier versions send none.
 
     Attributes:
-        sender_id: Where the answer is sent.
+        sender: The member record of the node that asks, to which the answer is
+            sent: of two nodes that start together, either may know the other
+            first.
         digest: Of what the sender knows.
         query: Identifies the query of a node that waits for the answer; 0 if
             an answer is needed only where the digests differ.
     """
 
-    sender_id: str
+    sender: Member
     digest: int
     query: int = 0
 
--- a/bluebellsill/suspicion_sync.py
+++ b/bluebellsill/suspicion_sync.py
@@ -10,6 +10,7 @@
 from bluebellsill.logs import get_logger
 from bluebellsill.membership import MemberState
 from bluebellsill.messages import CrashReport
+from bluebellsill.streams import Address
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -116,13 +117,15 @@
             self._await_answer()
 
     def on_query(self, message: SuspicionQuery) -> None:
-        """Answer a node that waits, or that knows something else.
-
-        A stranger becomes known by its gossip, and asks again.
-        """
-        if message.sender_id not in self._members.by_id:
+        """Answer a node that waits, or that knows something else."""
+        sender = message.sender.id
+        try:
+            Address.parse(sender)
+        except ValueError as error:
+            self._log.warning('query ignored', reason=str(error))
             return
         now = self._clock.now()
+        self._members.merge(message.sender, now)
         differs = message.digest != self._quarantine.digest(now)
         if not differs and not message.query:
             return
@@ -130,7 +133,7 @@
         report = CrashReport(
             '', [], [], rows, message.query, is_current=self._is_current
         )
-        self._peers.links.send(message.sender_id, report)
+        self._peers.links.send(sender, report)
 
     def on_report(
         self, connection: PeerConnection, report: CrashReport
@@ -172,7 +175,7 @@
     def _query(self, most: int, *, query: int) -> None:
         own = self._members.own
         message = SuspicionQuery(
-            own.id, self._quarantine.digest(self._clock.now()), query
+            own, self._quarantine.digest(self._clock.now()), query
         )
         chosen = self._members.sample_of_service(
             own.service, most, self._random
