Ask each 0.05 s while an answer is awaited

Cause: a node that starts refuses calls until it is answered, and its first question may go out just before it knows a peer.

--- a/bluebellsill/suspicion_sync.py
+++ b/bluebellsill/suspicion_sync.py
@@ -25,7 +25,7 @@
 __all__ = ('SuspicionSync',)
 
 _PERIOD = 1.0  # seconds between queries of a node that is current
-_AWAITING_PERIOD = 0.1  # seconds between queries while an answer is awaited
+_AWAITING_PERIOD = 0.05  # seconds between queries while an answer is awaited
 _QUERIED_PEERS = 3  # at a time, while an answer is awaited
 # Answers of peers that are not current either after which a node takes it that
 # all have started together.
