--- a/bluebellsill/response_reader.py
+++ b/bluebellsill/response_reader.py
@@ -180,7 +180,7 @@
         self._message.reason += reason
 
     def on_header(self, name: bytes, text: bytes) -> None:
-        """Store a header; trailers are dropped, they come after the facts."""
+        """Store a header of a head; trailers are dropped."""
         message = self._message
         if message.is_head_complete:
             return
--- a/bluebellsill/suspicion_sync.py
+++ b/bluebellsill/suspicion_sync.py
@@ -43,10 +43,11 @@
 class SuspicionSync:
     """Asks the other nodes of the service what they know.
 
-    A node that has started, was paused or was cut off is not current until
-    one that is has answered, or some that are not either. Besides, each node compares a digest
-    with one random peer in each period, which brings it what it has missed
-    without notice. The cost to a node does not depend on their number.
+    A node that has started, was paused or was cut off is not current until a
+    current peer has answered, or several that are not current either. Besides,
+    each node compares a digest with one random peer in each period, which
+    brings it what it has missed without notice. The cost to a node does not
+    depend on their number.
 
     Attributes:
         on_current: Called each time the node has become current.
