Let the only node of a service go on sooner

Cause: a node that knows members but none of its service waited 0.5 s more before it took itself for the only one; its callers were refused meanwhile.

Change: 0.2 s. A sync brings the members of the own service in its first datagrams, and a node that meets one later asks it then.

--- a/bluebellsill/suspicion_sync.py
+++ b/bluebellsill/suspicion_sync.py
@@ -35,7 +35,7 @@
 _MAX_WAIT = 1.5
 # Seconds after which a node that knows members, and never knew one of its
 # service, takes itself for the only one.
-_ALONE_WAIT = 0.5
+_ALONE_WAIT = 0.2
 _MAX_REMEMBERED = 4  # peers that are asked although they seem to be gone
 _MS_PER_SECOND = 1000
 
--- a/tests/test_suspicion_sync.py
+++ b/tests/test_suspicion_sync.py
@@ -257,7 +257,7 @@
     node = world.start(world.ids()[0])
     other = Member('10.0.1.1:1', 1, 0, int(MemberState.READY), 'a', 'other')
     node.members.merge(other, world.clock.now())
-    world.run(0.8)
+    world.run(0.4)
     assert node.sync.is_current
 
 
