--- a/review/11/case.py
+++ b/review/11/case.py
@@ -250,5 +250,12 @@
             world.close()
 
 
+async def run():
+    code = await main()
+    sys.stdout.flush()
+    # All processes have ended; nothing else that is left has to be waited for.
+    os._exit(code)
+
+
 if __name__ == '__main__':
-    sys.exit(asyncio.run(main()))
+    asyncio.run(run())
