--- a/review/11/case.py
+++ b/review/11/case.py
@@ -24,7 +24,7 @@
 
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 ANSWER = 30000  # bytes; the longest answer in the site files
-DELAY = 0.008  # seconds, one way between a requester and its machine
+DELAY = 0.001  # seconds, one way between a requester and its machine
 SEGMENT = 1460
 WINDOW = 10 * SEGMENT
 CHANNELS = 6
